--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,361 @@
+//! The decision module's interface: settings at start, events in, actions out. No decision is made here.
+//!
+//! All times are microseconds on the caller's clock. A position is such a time too: up to it, a member has
+//! applied every commit.
+
+/// Microseconds, as a point on the caller's clock or as a length.
+pub type Micros = u64;
+
+macro_rules! id {
+    ($(#[$doc:meta])* $name:ident($inner:ty)) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $inner);
+    };
+}
+
+id!(
+    /// A server of the store.
+    MemberId(u32)
+);
+id!(
+    /// A primary with its replicas.
+    GroupId(u32)
+);
+id!(
+    /// A data centre.
+    ZoneId(u16)
+);
+id!(
+    /// One try of a client, as it reached this router.
+    RequestId(u64)
+);
+id!(
+    /// A client's session.
+    SessionId(u64)
+);
+
+/// How fresh the data of a class must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Consistency {
+    /// Only the primary takes it.
+    Write,
+    /// All that was committed before the request came.
+    Fresh,
+    /// All that its session has written.
+    Session,
+    /// No older than the bound when it is sent.
+    Bounded(Micros),
+    /// Whatever the member has.
+    Any,
+}
+
+/// Where a keyed request's repeats are dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DedupScope {
+    /// By every member.
+    All,
+    /// By the members in the zone of the one that ran it.
+    Zone,
+    /// By the members of its group.
+    Group,
+}
+
+/// What a repeat of a request may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Safe to repeat.
+    Safe,
+    /// Repeats are dropped within a scope, for a time from the first send that may have run.
+    Keyed(DedupScope, Micros),
+    /// Never to be repeated once it may have run.
+    Unsafe,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// How fresh its data must be.
+    pub consistency: Consistency,
+    /// What a repeat may do.
+    pub effect: Effect,
+    /// Answered within this it earns its full worth.
+    pub aim: Micros,
+    /// Worth of an answer in time.
+    pub worth: f64,
+    /// Share of the worth that a late answer earns.
+    pub late_worth: f64,
+}
+
+/// How membership lists come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Discovery {
+    /// Unasked.
+    Pushed,
+    /// To those who ask.
+    OnRequest,
+}
+
+/// What members do with a read that they lag too far behind for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Guards {
+    /// They answer from what they have.
+    Silent,
+    /// They turn it away untouched, at once or after a short wait.
+    Enforced,
+}
+
+/// Who knows what a session has written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SessionMarks {
+    /// The client says so with each read.
+    Client,
+    /// This router remembers the writes whose answers it saw.
+    Router,
+}
+
+/// What the site permits.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Attempts for each request.
+    pub max_attempts: u32,
+    /// Longest wait that a client heeds.
+    pub max_retry_after: Micros,
+    /// Whether advice on when to come back reaches clients.
+    pub retry_after: bool,
+    /// Whether members may be probed.
+    pub probes: bool,
+    /// Whether two attempts of a request may be out together.
+    pub second_copies: bool,
+}
+
+/// The figures of the rules.
+#[derive(Clone, Debug)]
+pub struct RuleFigures {
+    /// Unsubscribed and silent for this long, a router counts as told of all that was listed.
+    pub ask_within: Micros,
+    /// Only an entry that says draining binds; a missing or gone one does not.
+    pub only_draining_binds: bool,
+    /// Least share of its capacity with which a member starts.
+    pub cold_share: f64,
+    /// It is warm after this.
+    pub warm_within: Micros,
+    /// Over this multiple of its present capacity...
+    pub fall_multiple: f64,
+    /// ...for this long, a cold member falls over.
+    pub fall_window: Micros,
+}
+
+/// All that a router is told at start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The zone in which this router runs.
+    pub zone: ZoneId,
+    /// Least time between two rounds of events.
+    pub step: Micros,
+    /// Request classes, by index.
+    pub classes: Vec<Class>,
+    /// How lists come.
+    pub discovery: Discovery,
+    /// What members enforce themselves.
+    pub guards: Guards,
+    /// Who knows what a session has written.
+    pub session_marks: SessionMarks,
+    /// What the site permits.
+    pub limits: Limits,
+    /// The figures of the rules.
+    pub rules: RuleFigures,
+}
+
+/// A member's part in its group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Takes the writes.
+    Primary,
+    /// Follows the primary.
+    Replica,
+}
+
+/// What the list says of a member's state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    /// In service.
+    Ready,
+    /// Finishing its work; nothing new may go there.
+    Draining,
+    /// Removed.
+    Gone,
+}
+
+/// A member as the list shows it.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Which member.
+    pub member: MemberId,
+    /// Its group.
+    pub group: GroupId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its state.
+    pub listed: Listed,
+    /// When it last started, if that is not long ago.
+    pub started: Option<Micros>,
+    /// Whether the list holds it to be the primary.
+    pub primary: bool,
+}
+
+/// What a list event brings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Changed entries only.
+    Delta,
+    /// All entries.
+    Full,
+    /// All entries as last held before a restart.
+    Cached,
+    /// Nothing: a call failed or a subscription broke.
+    Failed,
+}
+
+/// What a member says of itself; late, and only what its site offers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Report {
+    /// Position, rounded down.
+    pub position: Option<Micros>,
+    /// Its role.
+    pub role: Option<Role>,
+    /// Share of its cores in use.
+    pub utilization: Option<f64>,
+    /// Requests that wait there.
+    pub backlog: Option<f64>,
+}
+
+/// What an answer says of the member that gave it, exact as of the answer.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Note {
+    /// Its position; for a write that went through, the commit.
+    pub position: Option<Micros>,
+    /// Its role.
+    pub role: Option<Role>,
+}
+
+/// How an attempt or a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served.
+    Served,
+    /// The member answered with an error; may have run.
+    Error,
+    /// Turned away unseen: full or draining. Never ran.
+    Full,
+    /// No answer in time; may have run.
+    TimedOut,
+    /// No connection. Never ran.
+    Unreachable,
+    /// The connection broke; may have run.
+    Reset,
+    /// Cancelled; may have run.
+    Cancelled,
+    /// Never sent.
+    Moot,
+    /// Turned away untouched: not the primary, or lagging too far. Never ran.
+    Misplaced,
+}
+
+impl Outcome {
+    /// Whether this outcome proves that the attempt never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::Unreachable | Outcome::Moot | Outcome::Misplaced)
+    }
+}
+
+/// A client's request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its id.
+    pub id: RequestId,
+    /// Index of its class.
+    pub class: usize,
+    /// The group it names.
+    pub group: GroupId,
+    /// Its session, if it has one.
+    pub session: Option<SessionId>,
+    /// Time until the client gives this try up.
+    pub budget: Micros,
+    /// How long before its arrival the session's last write was committed, where the client tells.
+    pub last_write_ago: Option<Micros>,
+}
+
+/// The end of an attempt.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    /// Its request.
+    pub request: RequestId,
+    /// Where it was sent.
+    pub member: MemberId,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// What the answer said of the member.
+    pub note: Note,
+    /// Time since the send.
+    pub took: Micros,
+    /// Whether the request has its final answer.
+    pub finished: bool,
+    /// A load report that came along.
+    pub report: Report,
+}
+
+/// What reaches a router.
+#[derive(Clone, Debug)]
+pub enum Event<'a> {
+    /// The list, or news of it.
+    List(ListKind, &'a [Entry]),
+    /// A request.
+    Request(Request),
+    /// The end of an attempt.
+    AttemptEnded(Ended),
+    /// The end of a probe.
+    ProbeEnded {
+        /// Which member.
+        member: MemberId,
+        /// How it ended.
+        outcome: Outcome,
+        /// The member's report.
+        report: Report,
+    },
+    /// The client is gone; nothing is owed any more.
+    HungUp(RequestId),
+    /// The timer that the router set is due.
+    Timer,
+}
+
+/// What a router wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send a request to a member, for so long at the most (0: until the client gives up).
+    Send {
+        /// Which request.
+        request: RequestId,
+        /// Where to.
+        member: MemberId,
+        /// Time-out of the attempt.
+        timeout: Micros,
+    },
+    /// Final answer: refused; trying again is harmless, best after the pause (0: no advice).
+    Refuse {
+        /// Which request.
+        request: RequestId,
+        /// When to come back.
+        retry_after: Micros,
+    },
+    /// Final answer: failed; nothing is promised.
+    Fail(RequestId),
+    /// Probe a member.
+    Probe(MemberId),
+    /// Wake the router after this time.
+    SetTimer(Micros),
+    /// Subscribe to the list.
+    Subscribe,
+    /// A line for the log.
+    Log(String),
+}
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,740 @@
+//! Every decision of the routing service, in the order of a request's life: the list, the members' records,
+//! arrival, choice of member, guards, sending, outcome, giving up, and the tick that drives what is due.
+//! The interface (settings, events, actions) is in `src/interface.rs`. Nothing else decides anything.
+
+use std::collections::BTreeMap;
+
+use crate::interface::*;
+
+/// Pause between rounds of due work, in steps: short against every aim, dear in no site's CPU share.
+const TICK_STEPS: u64 = 2;
+/// Longest period of ordinary probing (the design's default), in microseconds.
+const PROBE_PERIOD: Micros = 1_000_000;
+/// Pause between probes of one member while its group's primary is sought, in microseconds.
+const SEARCH_PERIOD: Micros = 100_000;
+/// A fresh router holds reads at the most this long for the first word of a primary, in microseconds.
+const FRESH_HOLD: Micros = 150_000;
+/// A read without any eligible member waits this long at the most for a probe's answer, in microseconds.
+const PROBE_HOLD: Micros = 20_000;
+/// Consecutive failures after which a member is dropped (the design's default).
+const DROP_FAILURES: u32 = 3;
+/// Pause between real requests that test a member which answers probes but no work, in microseconds.
+const RETEST: Micros = 1_000_000;
+/// Open attempts that a member may have from here before anything is known of it.
+const FIRST_LIMIT: f64 = 6.0;
+/// Share of a member's limit on open attempts that reads may take at a primary; the rest is for writes.
+const READ_SHARE: f64 = 0.6;
+/// Weight of a new sample in running means: about the last ten answers count.
+const GAIN: f64 = 0.1;
+/// A limit shrinks to this share when answers take longer than the classes can spare.
+const CUT: f64 = 0.8;
+/// Share of the cold budget that is used: the rest is for what cannot be seen from here.
+const COLD_MARGIN: f64 = 0.5;
+/// First pause before subscribing anew, in microseconds; it doubles, to a quarter of the time allowed.
+const RESUBSCRIBE: Micros = 300_000;
+
+/// How far a member can be trusted with work.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Health {
+    Good,
+    PossiblyDead,
+    Dropped,
+}
+
+/// An attempt that is out.
+struct Open {
+    request: RequestId,
+    sent: Micros,
+    class: usize,
+}
+
+/// What is known of a member.
+#[derive(Default)]
+struct Member {
+    id: MemberId,
+    group: GroupId,
+    zone: ZoneId,
+    /// Drains or is gone: nothing new goes there.
+    barred: bool,
+    started: Option<Micros>,
+    /// Position that it has certainly reached, and when that was learnt.
+    position: Micros,
+    heard: Micros,
+    /// Last time at which it said that it is no primary.
+    denied: Micros,
+    /// The list's word on its role.
+    listed_primary: bool,
+    /// Consecutive failures of probes and connections; any answer clears them.
+    failures: u32,
+    /// Consecutive attempts without an answer; only answers to real work clear them.
+    stalls: u32,
+    last_answer: Micros,
+    last_test: Micros,
+    open: Vec<Open>,
+    /// Open attempts it may have from here, and how strained its answers are (1: all that aims can spare).
+    limit: f64,
+    strain: f64,
+    cut_at: Micros,
+    last_turn: u64,
+    probe_sent: Micros,
+    probe_out: bool,
+    /// Work sent in the running and the last second, its mean rate, and recent sends while cold.
+    sent_work: f64,
+    rate: f64,
+    cold_sends: Vec<(Micros, f64)>,
+}
+
+/// What is known of a group.
+#[derive(Default)]
+struct Group {
+    /// The last known primary, and the time that the evidence speaks of.
+    primary: Option<(MemberId, Micros)>,
+    /// Whether a member of it has spoken since start.
+    heard: bool,
+    /// Requests that wait for a member.
+    line: Vec<RequestId>,
+}
+
+/// A request that awaits its final answer.
+#[derive(Default)]
+struct Held {
+    class: usize,
+    group: GroupId,
+    session: Option<SessionId>,
+    arrived: Micros,
+    ends: Micros,
+    /// Position that a member must have reached to serve it (sessions).
+    floor: Micros,
+    attempts: u32,
+    /// When its last attempt was sent, and whether that is still out.
+    sent: Micros,
+    out: bool,
+    tried: Vec<MemberId>,
+    /// First send that may have run, and where.
+    risk: Option<(Micros, MemberId)>,
+}
+
+/// Observed service times of a class, in microseconds.
+struct Service {
+    mean: f64,
+    deviation: f64,
+    /// Mean when nothing waits: the least that the mean has been, slowly forgotten.
+    base: f64,
+}
+
+/// One instance of the decision module.
+pub struct Router {
+    settings: Settings,
+    random: u64,
+    now: Micros,
+    started: Micros,
+    members: BTreeMap<MemberId, Member>,
+    groups: BTreeMap<GroupId, Group>,
+    held: BTreeMap<RequestId, Held>,
+    services: Vec<Service>,
+    /// Commits that sessions must see, where the router remembers them.
+    sessions: BTreeMap<SessionId, Micros>,
+    turn: u64,
+    second: Micros,
+    ticking: bool,
+    resubscribe_at: Option<Micros>,
+    resubscribe_pause: Micros,
+}
+
+impl Router {
+    /// A router that knows nothing but its settings; the seed is its only randomness.
+    pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
+        // Until answers come, a class is taken to need a quarter of its aim.
+        let first = |aim: f64| Service { mean: aim / 4.0, deviation: aim / 8.0, base: aim / 4.0 };
+        Router {
+            services: settings.classes.iter().map(|c| first(c.aim as f64)).collect(),
+            settings,
+            random: seed,
+            now,
+            started: now,
+            members: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            held: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            turn: 0,
+            second: now,
+            ticking: false,
+            resubscribe_at: None,
+            resubscribe_pause: RESUBSCRIBE,
+        }
+    }
+
+    /// Takes one event and adds what is to be done about it.
+    pub fn handle(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>) {
+        self.now = now;
+        match event {
+            Event::List(kind, entries) => self.on_list(*kind, entries, out),
+            Event::Request(request) => self.on_request(request, out),
+            Event::AttemptEnded(ended) => {
+                self.on_answer(ended);
+                self.on_outcome(ended, out);
+            }
+            Event::ProbeEnded { member, outcome, report } => self.on_probe(*member, *outcome, report, out),
+            Event::HungUp(request) => drop(self.held.remove(request)),
+            Event::Timer => self.on_tick(out),
+        }
+        if !self.ticking {
+            self.ticking = true;
+            out.push(Action::SetTimer(self.settings.step * TICK_STEPS));
+        }
+    }
+
+    // ---- The list ----
+
+    fn on_list(&mut self, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
+        if kind == ListKind::Failed {
+            self.resubscribe_pause =
+                (self.resubscribe_pause * 2).min((self.settings.rules.ask_within / 4).max(1));
+            let jitter = self.draw(self.resubscribe_pause);
+            self.resubscribe_at = Some(self.now + self.resubscribe_pause / 2 + jitter);
+            return;
+        }
+        if kind == ListKind::Cached && self.settings.discovery == Discovery::OnRequest {
+            out.push(Action::Subscribe);
+        } else {
+            self.resubscribe_pause = RESUBSCRIBE;
+            self.resubscribe_at = None;
+        }
+        if kind != ListKind::Delta {
+            let listed: Vec<MemberId> = entries.iter().map(|e| e.member).collect();
+            for (_, m) in self.members.iter_mut().filter(|(id, _)| !listed.contains(id)) {
+                m.barred |= !self.settings.rules.only_draining_binds;
+            }
+        }
+        entries.iter().for_each(|entry| self.on_entry(entry));
+        if kind == ListKind::Cached {
+            let ids: Vec<MemberId> = self.members.keys().copied().collect();
+            ids.into_iter().for_each(|id| self.probe(id, 0, out));
+        }
+        self.pump_all(out);
+    }
+
+    fn on_entry(&mut self, entry: &Entry) {
+        let now = self.now;
+        let m = self.members.entry(entry.member).or_insert_with(|| Member::new(entry));
+        let claims = entry.primary && !m.listed_primary;
+        (m.group, m.zone, m.listed_primary) = (entry.group, entry.zone, entry.primary);
+        m.barred = match entry.listed {
+            Listed::Ready => false,
+            Listed::Draining => true,
+            Listed::Gone => !self.settings.rules.only_draining_binds,
+        };
+        let restarted = entry.started > m.started;
+        if restarted {
+            (m.started, m.failures, m.stalls) = (entry.started, 0, 0);
+        }
+        let group = self.groups.entry(entry.group).or_default();
+        // The list is late: it names a primary only where nothing better is known, and never one that has
+        // since said that it is none, unless the list has changed to it.
+        let denied = m.denied > 0 && now <= m.denied + PROBE_PERIOD;
+        if claims && group.primary.is_none() && !m.barred && !denied {
+            group.primary = Some((entry.member, 0));
+        }
+        let outdated = |(p, seen)| restarted && p == entry.member && seen > 0 && Some(seen) < m.started;
+        group.primary = group.primary.filter(|known| !outdated(*known));
+    }
+
+    // ---- The members' records ----
+
+    /// Takes what a member said of its position and role; `at` is the time that the evidence speaks of.
+    fn learn(&mut self, id: MemberId, position: Option<Micros>, role: Option<Role>, at: Micros) {
+        let Some(m) = self.members.get_mut(&id) else { return };
+        let Some(group) = self.groups.get_mut(&m.group) else { return };
+        group.heard = true;
+        // A position ahead of the clock can't be true.
+        if let Some(p) = position.filter(|&p| p >= m.position && p <= self.now) {
+            (m.position, m.heard) = (p, self.now);
+        }
+        let (held_by, seen) = group.primary.map_or((None, 0), |(p, seen)| (Some(p), seen));
+        let believed = held_by == Some(id);
+        if role == Some(Role::Primary) && at > m.denied && (believed || at > seen) {
+            group.primary = Some((id, at.max(seen)));
+        } else if role == Some(Role::Replica) && (!believed || at >= seen) {
+            m.denied = m.denied.max(at);
+            group.primary = group.primary.filter(|_| !believed);
+        }
+    }
+
+    /// A report is as old as its period and delay: it speaks of the time of its position, which for a
+    /// primary is the present.
+    fn learn_report(&mut self, id: MemberId, report: &Report) {
+        if let Some(position) = report.position.filter(|&p| p <= self.now) {
+            self.learn(id, report.position, report.role, position);
+        }
+    }
+
+    /// Reads health and load from the end of an attempt.
+    fn on_answer(&mut self, ended: &Ended) {
+        let (id, outcome) = (ended.member, ended.outcome);
+        self.learn_report(id, &ended.report);
+        let commit = outcome == Outcome::Served && self.is_write(ended.request);
+        if ended.note.role.is_some() {
+            self.learn(id, ended.note.position.filter(|_| !commit), ended.note.role, self.now);
+        }
+        let now = self.now;
+        let Some(m) = self.members.get_mut(&id) else { return };
+        let Some(at) = m.open.iter().position(|o| o.request == ended.request) else { return };
+        let attempt = m.open.swap_remove(at);
+        match outcome {
+            Outcome::Served | Outcome::Misplaced | Outcome::Full | Outcome::Error => {
+                (m.failures, m.stalls, m.last_answer) = (0, 0, now);
+            }
+            // Silence counts only where nothing else that was sent later has been answered.
+            Outcome::TimedOut if m.last_answer < attempt.sent => m.stalls += 1,
+            Outcome::Unreachable | Outcome::Reset => m.failures += 1,
+            _ => {}
+        }
+        let class = &self.settings.classes[attempt.class];
+        let service = &mut self.services[attempt.class];
+        let spare = service.spare(class);
+        let strain = match outcome {
+            Outcome::Served => (ended.took as f64 - service.base) / spare,
+            Outcome::TimedOut | Outcome::Full => 3.0,
+            _ => return,
+        };
+        if outcome == Outcome::Served {
+            service.add(ended.took as f64);
+        }
+        m.strain += GAIN * (strain.clamp(-1.0, 4.0) - m.strain);
+        let used = (m.open.len() + 1) as f64;
+        if m.strain > 1.0 && now > m.cut_at + service.mean as Micros {
+            (m.limit, m.cut_at) = ((m.limit.min(used) * CUT).max(1.0), now);
+        } else if m.strain < 1.0 && used + 1.0 >= m.limit {
+            m.limit += 1.0 / m.limit;
+        }
+    }
+
+    fn on_probe(&mut self, id: MemberId, outcome: Outcome, report: &Report, out: &mut Vec<Action>) {
+        let Some(m) = self.members.get_mut(&id) else { return };
+        let group = m.group;
+        m.probe_out = false;
+        if outcome == Outcome::Served {
+            // It may have restarted unseen while it was dropped: cold until proven warm.
+            if m.failures >= DROP_FAILURES {
+                m.started = m.started.max(Some(self.now));
+            }
+            m.failures = 0;
+            self.learn_report(id, report);
+        } else {
+            m.failures += 1;
+        }
+        self.pump(group, out);
+    }
+
+    fn health(&self, m: &Member) -> Health {
+        let silent = m.open.iter().any(|o| {
+            m.last_answer < o.sent && self.now > o.sent + 2 * self.services[o.class].tail() as Micros
+        });
+        match m.failures.max(m.stalls) {
+            n if n >= DROP_FAILURES => Health::Dropped,
+            0 if !silent => Health::Good,
+            _ => Health::PossiblyDead,
+        }
+    }
+
+    /// The last known primary of a group, unless nothing new may go there.
+    fn primary(&self, group: GroupId) -> Option<&Member> {
+        let (id, _) = self.groups.get(&group)?.primary?;
+        self.members.get(&id).filter(|m| !m.barred)
+    }
+
+    // ---- Arrival ----
+
+    fn on_request(&mut self, request: &Request, out: &mut Vec<Action>) {
+        let Some(class) = self.settings.classes.get(request.class) else {
+            return out.push(Action::Fail(request.id));
+        };
+        let told = request.last_write_ago.map(|ago| self.now.saturating_sub(ago));
+        let remembered = request.session.and_then(|s| self.sessions.get(&s)).copied();
+        let floor = match (class.consistency, self.settings.session_marks) {
+            (Consistency::Session, SessionMarks::Client) => told.unwrap_or(0),
+            (Consistency::Session, SessionMarks::Router) => remembered.unwrap_or(0),
+            _ => 0,
+        };
+        let (class, group, session, arrived) = (request.class, request.group, request.session, self.now);
+        let ends = arrived + request.budget;
+        let held = Held { class, group, session, arrived, ends, floor, ..Held::default() };
+        self.held.insert(request.id, held);
+        self.groups.entry(request.group).or_default().line.push(request.id);
+        self.pump(request.group, out);
+    }
+
+    /// Serves a group's line as far as members have room: first what can still be in time, then by worth
+    /// for its work, then by age.
+    fn pump(&mut self, group: GroupId, out: &mut Vec<Action>) {
+        let Some(g) = self.groups.get_mut(&group) else { return };
+        let mut line = std::mem::take(&mut g.line);
+        line.retain(|id| self.held.contains_key(id));
+        line.sort_by_cached_key(|id| self.precedence(&self.held[id]));
+        line.retain(|id| match self.choose(&self.held[id]) {
+            Some(member) => {
+                self.send(*id, member, out);
+                false
+            }
+            None => true,
+        });
+        self.groups.entry(group).or_default().line = line;
+    }
+
+    fn pump_all(&mut self, out: &mut Vec<Action>) {
+        let groups: Vec<GroupId> = self.groups.keys().copied().collect();
+        groups.into_iter().for_each(|g| self.pump(g, out));
+    }
+
+    fn precedence(&self, held: &Held) -> (bool, i64, Micros) {
+        let class = &self.settings.classes[held.class];
+        let service = &self.services[held.class];
+        let late = self.now + service.mean as Micros > held.arrived + class.aim;
+        (late, -(class.worth * 1e9 / service.base) as i64, held.arrived)
+    }
+
+    // ---- Choice of a member ----
+
+    /// Where to send a request now; nowhere: it waits.
+    fn choose(&self, held: &Held) -> Option<MemberId> {
+        let consistency = self.settings.classes[held.class].consistency;
+        let primary = self.primary(held.group).filter(|p| self.may_send(held, p));
+        if matches!(consistency, Consistency::Write | Consistency::Fresh) {
+            return primary.filter(|p| self.has_room(p, 1.0) || self.is_test(p)).map(|p| p.id);
+        }
+        let heard = self.groups.get(&held.group).is_some_and(|g| g.heard);
+        if !heard && self.now < self.started + FRESH_HOLD {
+            return None;
+        }
+        let believed = self.primary(held.group).map(|p| p.id);
+        let others = self.members.values().filter(|m| m.group == held.group && Some(m.id) != believed);
+        let replicas: Vec<&Member> =
+            others.filter(|m| !held.tried.contains(&m.id) && self.may_send(held, m)).collect();
+        let eligible: Vec<&Member> = replicas.iter().filter(|m| self.is_fresh(held, m)).copied().collect();
+        if let Some(suspect) = eligible.iter().find(|m| self.is_test(m)) {
+            return Some(suspect.id);
+        }
+        let good = |m: &&&Member| self.health(m) == Health::Good;
+        let responsive = eligible.iter().filter(good).count();
+        if let Some(id) = self.next_turn(eligible.iter().filter(good)) {
+            return Some(id);
+        }
+        // A probe that is out may show a replica to be fresh enough after all.
+        let probed = replicas.iter().any(|m| m.probe_out);
+        if responsive == 0 && probed && self.now < held.arrived + PROBE_HOLD {
+            return None;
+        }
+        // All that are eligible are at their limits, or there is none: the primary, as far as writes spare it.
+        if let Some(p) = primary.filter(|p| self.has_room(p, READ_SHARE)) {
+            return Some(p.id);
+        }
+        // Members that enforce freshness themselves turn away what they lag too far behind for: where the
+        // primary has no room, one whose record has merely run out may be asked.
+        if self.settings.guards == Guards::Enforced {
+            let unknown = replicas.iter().filter(good).filter(|m| !self.known_behind(held, m));
+            if let Some(id) = self.next_turn(unknown) {
+                return Some(id);
+            }
+        }
+        let no_primary = primary.is_none_or(|p| self.health(p) != Health::Good);
+        let suspects = eligible.iter().filter(|m| self.health(m) == Health::PossiblyDead);
+        if responsive == 0 && no_primary {
+            self.next_turn(suspects)
+        } else {
+            None
+        }
+    }
+
+    /// Own zone first, then rotation; one at its limit passes its turn.
+    fn next_turn<'m>(&self, members: impl Iterator<Item = &'m &'m Member>) -> Option<MemberId> {
+        let open = members.filter(|m| self.has_room(m, 1.0));
+        open.min_by_key(|m| (m.zone != self.settings.zone, m.last_turn)).map(|m| m.id)
+    }
+
+    fn has_room(&self, m: &Member, share: f64) -> bool {
+        let limit = (m.limit * share * self.warmth(m)).max(1.0);
+        match self.health(m) {
+            Health::Good => (m.open.len() as f64) < limit,
+            Health::PossiblyDead => m.open.is_empty(),
+            Health::Dropped => false,
+        }
+    }
+
+    /// Whether a request may now test this member, which passes probes but answers no work.
+    fn is_test(&self, m: &Member) -> bool {
+        m.stalls > 0 && m.failures == 0 && m.open.is_empty() && self.now > m.last_test + RETEST
+    }
+
+    /// Whether a member's known position is enough for this read.
+    fn is_fresh(&self, held: &Held, m: &Member) -> bool {
+        match self.settings.classes[held.class].consistency {
+            Consistency::Bounded(bound) => self.now <= m.position.saturating_add(bound),
+            Consistency::Session => m.position >= held.floor,
+            Consistency::Any => true,
+            Consistency::Write | Consistency::Fresh => false,
+        }
+    }
+
+    /// Whether a member was too far behind for this read when it last spoke.
+    fn known_behind(&self, held: &Held, m: &Member) -> bool {
+        match self.settings.classes[held.class].consistency {
+            Consistency::Bounded(bound) => m.heard > m.position.saturating_add(bound),
+            _ => m.position < held.floor,
+        }
+    }
+
+    // ---- Guards: every send and every final answer of the module passes these ----
+
+    /// Rules 1 to 5, as far as they bind a send.
+    fn may_send(&self, held: &Held, m: &Member) -> bool {
+        let consistency = self.settings.classes[held.class].consistency;
+        let in_time = self.now < held.ends && held.attempts < self.settings.limits.max_attempts;
+        let enforced = self.settings.guards == Guards::Enforced && consistency != Consistency::Write;
+        let primary = self.primary(held.group).is_some_and(|p| p.id == m.id);
+        let fresh = primary || enforced || self.is_fresh(held, m);
+        let placed = !m.barred && m.group == held.group && self.cold_room(m, held.class);
+        placed && fresh && !held.out && in_time && self.may_repeat(held, Some(m))
+    }
+
+    /// Rule 2: whether a request may be sent again, to this member if one is given.
+    fn may_repeat(&self, held: &Held, to: Option<&Member>) -> bool {
+        let Some((sent, first)) = held.risk else { return true };
+        let first = self.members.get(&first);
+        let within = |scope| match (scope, first, to) {
+            (DedupScope::All, _, _) | (_, _, None) => true,
+            (DedupScope::Zone, Some(f), Some(m)) => f.zone == m.zone,
+            (DedupScope::Group, Some(f), Some(m)) => f.group == m.group,
+            _ => false,
+        };
+        match self.settings.classes[held.class].effect {
+            Effect::Safe => true,
+            Effect::Unsafe => false,
+            Effect::Keyed(scope, window) => self.now <= sent + window && within(scope),
+        }
+    }
+
+    /// Share of its capacity that a member has at least: it grows evenly from its start.
+    fn warmth(&self, m: &Member) -> f64 {
+        let rules = &self.settings.rules;
+        let Some(age) = m.started.map(|s| self.now.saturating_sub(s)) else { return 1.0 };
+        if age >= rules.warm_within {
+            return 1.0;
+        }
+        rules.cold_share + (1.0 - rules.cold_share) * age as f64 / rules.warm_within as f64
+    }
+
+    /// Rule 4: what a cold member gets within the window stays a part of what this router sends a warm
+    /// one in that time; what all routers send a warm one is under its capacity, so the sum keeps the budget.
+    fn cold_room(&self, m: &Member, class: usize) -> bool {
+        let warmth = self.warmth(m);
+        if warmth >= 1.0 || m.cold_sends.is_empty() {
+            return true;
+        }
+        let rules = &self.settings.rules;
+        let warm: Vec<f64> =
+            self.members.values().filter(|o| !o.barred && self.warmth(o) >= 1.0).map(|o| o.rate).collect();
+        let usual = warm.iter().sum::<f64>() / warm.len().max(1) as f64;
+        let budget = usual * warmth * rules.fall_multiple * COLD_MARGIN * rules.fall_window as f64;
+        let spent: f64 =
+            m.cold_sends.iter().filter(|(at, _)| at + rules.fall_window >= self.now).map(|(_, w)| w).sum();
+        spent + self.services[class].base <= budget
+    }
+
+    /// Rule 2: a refusal promises that trying again is harmless.
+    fn may_refuse(&self, held: &Held) -> bool {
+        match self.settings.classes[held.class].effect {
+            _ if held.risk.is_none() && !held.out => true,
+            Effect::Safe | Effect::Keyed(DedupScope::All, _) => true,
+            Effect::Keyed(..) | Effect::Unsafe => false,
+        }
+    }
+
+    // ---- Sending ----
+
+    fn send(&mut self, id: RequestId, to: MemberId, out: &mut Vec<Action>) {
+        let (now, cold) = (self.now, self.members.get(&to).is_some_and(|m| self.warmth(m) < 1.0));
+        let (Some(held), Some(m)) = (self.held.get_mut(&id), self.members.get_mut(&to)) else { return };
+        let class = &self.settings.classes[held.class];
+        let service = &self.services[held.class];
+        // A safe read leaves room for one more try within its aim; what may not be repeated is waited for.
+        let tail = service.tail() as Micros;
+        let left = (held.arrived + class.aim).saturating_sub(now);
+        let timeout = if class.effect == Effect::Safe && left > 2 * tail { left - tail } else { 0 };
+        held.attempts += 1;
+        (held.sent, held.out) = (now, true);
+        held.tried.push(to);
+        m.open.push(Open { request: id, sent: now, class: held.class });
+        m.sent_work += service.base;
+        self.turn += 1;
+        (m.last_turn, m.last_test) = (self.turn, now);
+        if cold {
+            m.cold_sends.push((now, service.base));
+        }
+        out.push(Action::Send { request: id, member: to, timeout });
+    }
+
+    // ---- Outcome ----
+
+    fn is_write(&self, id: RequestId) -> bool {
+        self.held.get(&id).is_some_and(|h| self.settings.classes[h.class].consistency == Consistency::Write)
+    }
+
+    fn on_outcome(&mut self, ended: &Ended, out: &mut Vec<Action>) {
+        let (id, write) = (ended.request, self.is_write(ended.request));
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let group = held.group;
+        held.out = false;
+        if !ended.outcome.never_ran() && held.risk.is_none() {
+            held.risk = Some((held.sent, ended.member));
+        }
+        if ended.finished {
+            if let (true, Some(session), Some(commit)) = (write, held.session, ended.note.position) {
+                let seen = self.sessions.entry(session).or_insert(0);
+                *seen = (*seen).max(commit);
+            }
+            self.held.remove(&id);
+        } else if ended.outcome == Outcome::Moot || !self.may_retry(id) {
+            self.give_up(id, out);
+        } else if let Some(g) = self.groups.get_mut(&group) {
+            g.line.push(id);
+        }
+        self.pump(group, out);
+    }
+
+    /// Whether another attempt is allowed and has a chance.
+    fn may_retry(&self, id: RequestId) -> bool {
+        self.held.get(&id).is_some_and(|held| {
+            self.may_repeat(held, None)
+                && held.attempts < self.settings.limits.max_attempts
+                && self.now < self.hopeless_at(held)
+        })
+    }
+
+    // ---- Giving up ----
+
+    /// From here on an attempt would hardly end in time to earn anything.
+    fn hopeless_at(&self, held: &Held) -> Micros {
+        let class = &self.settings.classes[held.class];
+        let base = self.services[held.class].base as Micros;
+        let end = held.ends.saturating_sub(2 * self.settings.step * TICK_STEPS);
+        let useful = if class.late_worth > 0.0 { held.ends } else { held.ends.min(held.arrived + class.aim) };
+        end.min(useful.saturating_sub(base))
+    }
+
+    fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(held) = self.held.get(&id) else { return };
+        let class = &self.settings.classes[held.class];
+        let limits = &self.settings.limits;
+        if self.may_refuse(held) {
+            let retry_after = if limits.retry_after { limits.max_retry_after.min(class.aim / 2) } else { 0 };
+            out.push(Action::Refuse { request: id, retry_after });
+        } else {
+            out.push(Action::Fail(id));
+        }
+        self.held.remove(&id);
+    }
+
+    // ---- What is due ----
+
+    fn on_tick(&mut self, out: &mut Vec<Action>) {
+        out.push(Action::SetTimer(self.settings.step * TICK_STEPS));
+        if self.resubscribe_at.is_some_and(|at| at <= self.now) {
+            self.resubscribe_at = Some(self.now + self.settings.rules.ask_within / 4);
+            out.push(Action::Subscribe);
+        }
+        let waiting = self.held.iter().filter(|(_, h)| !h.out && self.now >= self.hopeless_at(h));
+        let lapsed: Vec<RequestId> = waiting.map(|(id, _)| *id).collect();
+        lapsed.into_iter().for_each(|id| self.give_up(id, out));
+        self.probe_due(out);
+        if self.now >= self.second + 1_000_000 {
+            self.each_second();
+        }
+        self.pump_all(out);
+    }
+
+    fn each_second(&mut self) {
+        let length = (self.now - self.second) as f64;
+        self.second = self.now;
+        let oldest = self.now.saturating_sub(self.settings.rules.fall_window);
+        for m in self.members.values_mut() {
+            m.rate += 0.3 * (m.sent_work / length - m.rate);
+            m.sent_work = 0.0;
+            m.cold_sends.retain(|(at, _)| *at >= oldest);
+        }
+        self.services.iter_mut().for_each(|s| s.base += 0.01 * (s.mean - s.base));
+    }
+
+    /// The tightest staleness bound sets the probe period, as the design has it.
+    fn probe_period(&self) -> Micros {
+        let bounds = self.settings.classes.iter().filter_map(|c| match c.consistency {
+            Consistency::Bounded(bound) => Some(bound / 2),
+            _ => None,
+        });
+        bounds.min().unwrap_or(PROBE_PERIOD).clamp(1, PROBE_PERIOD)
+    }
+
+    fn probe_due(&mut self, out: &mut Vec<Action>) {
+        let period = self.probe_period();
+        let due = self.members.values().filter_map(|m| Some((m.id, self.probe_pause(m, period)?)));
+        for (id, pause) in due.collect::<Vec<_>>() {
+            self.probe(id, pause, out);
+        }
+    }
+
+    /// Time between probes of a member; none: its record needs no probe.
+    fn probe_pause(&self, m: &Member, period: Micros) -> Option<Micros> {
+        let primary = self.primary(m.group);
+        let age = self.now.saturating_sub(m.position);
+        if primary.is_none_or(|p| self.health(p) != Health::Good) {
+            Some(SEARCH_PERIOD)
+        } else if self.health(m) != Health::Good || primary.is_some_and(|p| p.id == m.id) {
+            Some(PROBE_PERIOD)
+        } else {
+            // One that lags far needs time to catch up: it is asked less often.
+            Some(period.max(age / 4).min(PROBE_PERIOD)).filter(|_| age >= period)
+        }
+    }
+
+    /// Probes a member unless it was probed within `pause` or a probe is out.
+    fn probe(&mut self, id: MemberId, pause: Micros, out: &mut Vec<Action>) {
+        let Some(m) = self.members.get_mut(&id) else { return };
+        if self.settings.limits.probes && !m.barred && !m.probe_out && self.now >= m.probe_sent + pause {
+            (m.probe_sent, m.probe_out) = (self.now, true);
+            out.push(Action::Probe(id));
+        }
+    }
+
+    /// A number under `below`, from the instance's own seed (xorshift).
+    fn draw(&mut self, below: Micros) -> Micros {
+        self.random |= 1;
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        self.random % below.max(1)
+    }
+}
+
+impl Member {
+    fn new(entry: &Entry) -> Self {
+        let (id, group, zone) = (entry.member, entry.group, entry.zone);
+        Member { id, group, zone, limit: FIRST_LIMIT, ..Member::default() }
+    }
+}
+
+impl Service {
+    fn add(&mut self, took: f64) {
+        self.deviation += GAIN / 2.0 * ((took - self.mean).abs() - self.deviation);
+        self.mean += GAIN / 2.0 * (took - self.mean);
+        self.base = self.base.min(self.mean);
+    }
+
+    /// Nearly all answers come within this.
+    fn tail(&self) -> f64 {
+        self.mean + 3.0 * self.deviation
+    }
+
+    /// Waiting that a member may add while the class's aim still holds.
+    fn spare(&self, class: &Class) -> f64 {
+        ((class.aim as f64 - 3.0 * self.base) / 2.0).max(self.base / 2.0).max(1.0)
+    }
+}
