--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -34,6 +34,8 @@
     pub const FOLLOW: u8 = 75;
 }
 
+/// Flag of a request that its client has sent before.
+const CLIENT_REPEAT: u8 = 2;
 /// Numbers of the member tables that a process can hold.
 const TABLES: u8 = 16;
 
@@ -207,14 +209,14 @@
     let _hint = r.u32()?;
     let session = Some(SessionId(r.u64()?)).filter(|s| s.0 != 0);
     let class = usize::from(r.u16()?);
-    let _flags = r.u8()?;
+    let repeat = r.u8()? & CLIENT_REPEAT != 0;
     let _tenant = r.u32()?;
     let budget = u64::from(r.u32()?);
     let ago_ms = r.f32()?;
     let shard = r.f32()?;
     // Milliseconds as a 32-bit float: rounded towards the later commit, the stricter one.
     let last_write_ago = (ago_ms > 0.0).then(|| (f64::from(ago_ms.next_down()) * 1000.0) as u64);
-    Ok(Request { id, class, group: GroupId(shard as u32), session, budget, last_write_ago })
+    Ok(Request { id, class, group: GroupId(shard as u32), session, budget, repeat, last_write_ago })
 }
 
 fn outcome(code: u16) -> Result<Outcome, String> {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -282,6 +282,8 @@
     pub session: Option<SessionId>,
     /// Time until the client gives this try up.
     pub budget: Micros,
+    /// Whether the client says that it asked before.
+    pub repeat: bool,
     /// How long before its arrival the session's last write was committed, where the client tells.
     pub last_write_ago: Option<Micros>,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,6 +28,8 @@
 const GAIN: f64 = 0.1;
 /// A limit shrinks to this share when answers take longer than the classes can spare.
 const CUT: f64 = 0.8;
+/// Time over which a higher mean becomes a class's base time, in microseconds: far over any jam.
+const BASE_MEMORY: f64 = 100e6;
 /// Share of the cold budget that is used: the rest is for what cannot be seen from here.
 const COLD_MARGIN: f64 = 0.5;
 /// First pause before subscribing anew, in microseconds; it doubles, to a quarter of the time allowed.
@@ -78,10 +80,8 @@
     last_turn: u64,
     probe_sent: Micros,
     probe_out: bool,
-    /// Work sent in the running and the last second, its mean rate, and recent sends while cold.
-    sent_work: f64,
-    rate: f64,
-    cold_sends: Vec<(Micros, f64)>,
+    /// Work sent from here of late, forgotten over the window of the cold rule; in microseconds.
+    load: f64,
 }
 
 /// What is known of a group.
@@ -91,6 +91,8 @@
     primary: Option<(MemberId, Micros)>,
     /// Whether a member of it has spoken since start.
     heard: bool,
+    /// When a request last named it.
+    asked: Micros,
     /// Requests that wait for a member.
     line: Vec<RequestId>,
 }
@@ -103,6 +105,7 @@
     session: Option<SessionId>,
     arrived: Micros,
     ends: Micros,
+    repeat: bool,
     /// Position that a member must have reached to serve it (sessions).
     floor: Micros,
     attempts: u32,
@@ -135,7 +138,6 @@
     /// Commits that sessions must see, where the router remembers them.
     sessions: BTreeMap<SessionId, Micros>,
     turn: u64,
-    second: Micros,
     ticking: bool,
     resubscribe_at: Option<Micros>,
     resubscribe_pause: Micros,
@@ -157,7 +159,6 @@
             held: BTreeMap::new(),
             sessions: BTreeMap::new(),
             turn: 0,
-            second: now,
             ticking: false,
             resubscribe_at: None,
             resubscribe_pause: RESUBSCRIBE,
@@ -358,9 +359,13 @@
         };
         let (class, group, session, arrived) = (request.class, request.group, request.session, self.now);
         let ends = arrived + request.budget;
-        let held = Held { class, group, session, arrived, ends, floor, ..Held::default() };
+        let repeat = request.repeat;
+        let held = Held { class, group, session, arrived, ends, repeat, floor, ..Held::default() };
+        self.probe_for(&held, out);
         self.held.insert(request.id, held);
-        self.groups.entry(request.group).or_default().line.push(request.id);
+        let group = self.groups.entry(request.group).or_default();
+        group.line.push(request.id);
+        group.asked = self.now;
         self.pump(request.group, out);
     }
 
@@ -389,7 +394,9 @@
     fn precedence(&self, held: &Held) -> (bool, i64, Micros) {
         let class = &self.settings.classes[held.class];
         let service = &self.services[held.class];
-        let late = self.now + service.mean as Micros > held.arrived + class.aim;
+        // A client's repeat has mostly used up the aim of its first try.
+        let late = self.now + service.mean as Micros > held.arrived + class.aim
+            || (held.repeat && class.late_worth == 0.0);
         (late, -(class.worth * 1e9 / service.base) as i64, held.arrived)
     }
 
@@ -424,7 +431,7 @@
         if responsive == 0 && probed && self.now < held.arrived + PROBE_HOLD {
             return None;
         }
-        // All that are eligible are at their limits, or there is none: the primary, as far as writes spare it.
+        // No eligible one has room: the primary, as far as writes spare it.
         if let Some(p) = primary.filter(|p| self.has_room(p, READ_SHARE)) {
             return Some(p.id);
         }
@@ -526,18 +533,13 @@
     /// Rule 4: what a cold member gets within the window stays a part of what this router sends a warm
     /// one in that time; what all routers send a warm one is under its capacity, so the sum keeps the budget.
     fn cold_room(&self, m: &Member, class: usize) -> bool {
-        let warmth = self.warmth(m);
-        if warmth >= 1.0 || m.cold_sends.is_empty() {
-            return true;
-        }
-        let rules = &self.settings.rules;
-        let warm: Vec<f64> =
-            self.members.values().filter(|o| !o.barred && self.warmth(o) >= 1.0).map(|o| o.rate).collect();
-        let usual = warm.iter().sum::<f64>() / warm.len().max(1) as f64;
-        let budget = usual * warmth * rules.fall_multiple * COLD_MARGIN * rules.fall_window as f64;
-        let spent: f64 =
-            m.cold_sends.iter().filter(|(at, _)| at + rules.fall_window >= self.now).map(|(_, w)| w).sum();
-        spent + self.services[class].base <= budget
+        let warm = self.members.values().filter(|o| !o.barred && self.warmth(o) >= 1.0);
+        let (count, sum) = warm.fold((0.0, 0.0), |(count, sum), o| (count + 1.0, sum + o.load));
+        let share = self.warmth(m) * self.settings.rules.fall_multiple * COLD_MARGIN;
+        let first = m.load < self.services[class].base / 2.0;
+        self.warmth(m) >= 1.0
+            || first
+            || m.load + self.services[class].base <= sum / f64::max(count, 1.0) * share
     }
 
     /// Rule 2: a refusal promises that trying again is harmless.
@@ -552,7 +554,7 @@
     // ---- Sending ----
 
     fn send(&mut self, id: RequestId, to: MemberId, out: &mut Vec<Action>) {
-        let (now, cold) = (self.now, self.members.get(&to).is_some_and(|m| self.warmth(m) < 1.0));
+        let now = self.now;
         let (Some(held), Some(m)) = (self.held.get_mut(&id), self.members.get_mut(&to)) else { return };
         let class = &self.settings.classes[held.class];
         let service = &self.services[held.class];
@@ -564,12 +566,9 @@
         (held.sent, held.out) = (now, true);
         held.tried.push(to);
         m.open.push(Open { request: id, sent: now, class: held.class });
-        m.sent_work += service.base;
+        m.load += service.base;
         self.turn += 1;
         (m.last_turn, m.last_test) = (self.turn, now);
-        if cold {
-            m.cold_sends.push((now, service.base));
-        }
         out.push(Action::Send { request: id, member: to, timeout });
     }
 
@@ -637,7 +636,8 @@
     // ---- What is due ----
 
     fn on_tick(&mut self, out: &mut Vec<Action>) {
-        out.push(Action::SetTimer(self.settings.step * TICK_STEPS));
+        let tick = self.settings.step * TICK_STEPS;
+        out.push(Action::SetTimer(tick));
         if self.resubscribe_at.is_some_and(|at| at <= self.now) {
             self.resubscribe_at = Some(self.now + self.settings.rules.ask_within / 4);
             out.push(Action::Subscribe);
@@ -646,55 +646,47 @@
         let lapsed: Vec<RequestId> = waiting.map(|(id, _)| *id).collect();
         lapsed.into_iter().for_each(|id| self.give_up(id, out));
         self.probe_due(out);
-        if self.now >= self.second + 1_000_000 {
-            self.each_second();
-        }
+        let kept = 1.0 - (tick as f64 / self.settings.rules.fall_window.max(tick) as f64);
+        self.members.values_mut().for_each(|m| m.load *= kept);
+        self.services.iter_mut().for_each(|s| s.base += tick as f64 / BASE_MEMORY * (s.mean - s.base));
         self.pump_all(out);
     }
 
-    fn each_second(&mut self) {
-        let length = (self.now - self.second) as f64;
-        self.second = self.now;
-        let oldest = self.now.saturating_sub(self.settings.rules.fall_window);
-        for m in self.members.values_mut() {
-            m.rate += 0.3 * (m.sent_work / length - m.rate);
-            m.sent_work = 0.0;
-            m.cold_sends.retain(|(at, _)| *at >= oldest);
+    /// A read whose replicas' records have run out has them probed, those of its own zone even while others
+    /// are fresh. A record in use is renewed by its answers: probing by the clock would only cost more.
+    fn probe_for(&mut self, held: &Held, out: &mut Vec<Action>) {
+        let consistency = self.settings.classes[held.class].consistency;
+        let Consistency::Bounded(bound) = consistency else { return };
+        let primary = self.primary(held.group).map(|p| p.id);
+        let replicas = self.members.values().filter(|m| m.group == held.group && Some(m.id) != primary);
+        let (fresh, stale): (Vec<&Member>, Vec<&Member>) = replicas.partition(|m| self.is_fresh(held, m));
+        let near = |m: &&Member| m.zone == self.settings.zone;
+        let (served, near_by) = (!fresh.is_empty(), fresh.iter().any(near));
+        let due = stale.iter().filter(|m| !near_by && (!served || near(m)));
+        // One that lags far needs time to catch up: it is asked less often.
+        let pause = |m: &Member| (bound / 2).max(self.now.saturating_sub(m.position) / 4).min(PROBE_PERIOD);
+        for (id, pause) in due.map(|m| (m.id, pause(m))).collect::<Vec<_>>() {
+            self.probe(id, pause, out);
         }
-        self.services.iter_mut().for_each(|s| s.base += 0.01 * (s.mean - s.base));
-    }
-
-    /// The tightest staleness bound sets the probe period, as the design has it.
-    fn probe_period(&self) -> Micros {
-        let bounds = self.settings.classes.iter().filter_map(|c| match c.consistency {
-            Consistency::Bounded(bound) => Some(bound / 2),
-            _ => None,
-        });
-        bounds.min().unwrap_or(PROBE_PERIOD).clamp(1, PROBE_PERIOD)
     }
 
+    /// Members in trouble, and those of a group without a primary, are probed while requests name the group.
     fn probe_due(&mut self, out: &mut Vec<Action>) {
-        let period = self.probe_period();
-        let due = self.members.values().filter_map(|m| Some((m.id, self.probe_pause(m, period)?)));
+        let pause = |m: &Member| {
+            let asked = self.groups.get(&m.group).is_some_and(|g| self.now < g.asked + PROBE_PERIOD);
+            match self.primary(m.group).map(|p| self.health(p)) {
+                Some(Health::Good) if self.health(m) == Health::Good => None,
+                Some(Health::Good) => Some(PROBE_PERIOD),
+                _ => Some(SEARCH_PERIOD),
+            }
+            .filter(|_| asked)
+        };
+        let due = self.members.values().filter_map(|m| Some((m.id, pause(m)?)));
         for (id, pause) in due.collect::<Vec<_>>() {
             self.probe(id, pause, out);
         }
     }
 
-    /// Time between probes of a member; none: its record needs no probe.
-    fn probe_pause(&self, m: &Member, period: Micros) -> Option<Micros> {
-        let primary = self.primary(m.group);
-        let age = self.now.saturating_sub(m.position);
-        if primary.is_none_or(|p| self.health(p) != Health::Good) {
-            Some(SEARCH_PERIOD)
-        } else if self.health(m) != Health::Good || primary.is_some_and(|p| p.id == m.id) {
-            Some(PROBE_PERIOD)
-        } else {
-            // One that lags far needs time to catch up: it is asked less often.
-            Some(period.max(age / 4).min(PROBE_PERIOD)).filter(|_| age >= period)
-        }
-    }
-
     /// Probes a member unless it was probed within `pause` or a probe is out.
     fn probe(&mut self, id: MemberId, pause: Micros, out: &mut Vec<Action>) {
         let Some(m) = self.members.get_mut(&id) else { return };
