Long any reads gather on the replica that lags most

Holds against anything in a long read that delays apply: locks, cores, cache. May hurt where such reads are most of the traffic, as they then crowd one replica up to its limit before the next.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -2,6 +2,7 @@
 //! arrival, choice of member, guards, sending, outcome, giving up, and the tick that drives what is due.
 //! The interface (settings, events, actions) is in `src/interface.rs`. Nothing else decides anything.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use crate::interface::*;
@@ -423,7 +424,7 @@
         }
         let good = |m: &&&Member| self.health(m) == Health::Good;
         let responsive = eligible.iter().filter(good).count();
-        if let Some(id) = self.next_turn(eligible.iter().filter(good)) {
+        if let Some(id) = self.next_turn(held, eligible.iter().filter(good)) {
             return Some(id);
         }
         // No eligible one has room: the primary, as far as writes spare it.
@@ -434,23 +435,28 @@
         // primary has no room, one whose record has merely run out may be asked.
         if self.settings.guards == Guards::Enforced {
             let unknown = replicas.iter().filter(good).filter(|m| !self.known_behind(held, m));
-            if let Some(id) = self.next_turn(unknown) {
+            if let Some(id) = self.next_turn(held, unknown) {
                 return Some(id);
             }
         }
         let no_primary = primary.is_none_or(|p| self.health(p) != Health::Good);
         let suspects = eligible.iter().filter(|m| self.health(m) == Health::PossiblyDead);
         if responsive == 0 && no_primary {
-            self.next_turn(suspects)
+            self.next_turn(held, suspects)
         } else {
             None
         }
     }
 
-    /// Own zone first, then rotation; one at its limit passes its turn.
-    fn next_turn<'m>(&self, members: impl Iterator<Item = &'m &'m Member>) -> Option<MemberId> {
-        let open = members.filter(|m| self.has_room(m, 1.0));
-        open.min_by_key(|m| (m.zone != self.settings.zone, m.last_turn)).map(|m| m.id)
+    /// Own zone first, then rotation; one at its limit passes its turn. Any reads that take longer than the
+    /// tightest bound may hold up for as long what a replica applies: they gather where the lag is longest
+    /// already, so that the others stay fresh. May hurt where such reads are most of the traffic.
+    fn next_turn<'m>(&self, held: &Held, among: impl Iterator<Item = &'m &'m Member>) -> Option<MemberId> {
+        let any = self.settings.classes[held.class].consistency == Consistency::Any;
+        let long = any && self.services[held.class].base > self.tightest_bound() as f64;
+        let lag = |m: &Member| if long { m.heard.saturating_sub(m.position) } else { 0 };
+        let open = among.filter(|m| self.has_room(m, 1.0));
+        open.min_by_key(|m| (Reverse(lag(m)), m.zone != self.settings.zone, m.last_turn)).map(|m| m.id)
     }
 
     fn has_room(&self, m: &Member, share: f64) -> bool {
@@ -645,6 +651,11 @@
         self.pump_all(out);
     }
 
+    fn tightest_bound(&self) -> Micros {
+        let bound = |c: &Class| if let Consistency::Bounded(b) = c.consistency { b } else { Micros::MAX };
+        self.settings.classes.iter().map(bound).min().unwrap_or(Micros::MAX)
+    }
+
     /// A read whose replicas' records have run out has them probed, those of its own zone even while others
     /// are fresh. A record in use is renewed by its answers: probing by the clock would only cost more.
     fn probe_for(&mut self, held: &Held, out: &mut Vec<Action>) {
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -103,3 +103,17 @@
     let late = count(&mut stage);
     assert!(early > 3 * late && late > 0, "{early} probes at first, {late} later");
 }
+
+#[test]
+fn long_any_reads_gather_on_the_replica_that_lags_most() {
+    let mut settings = settings();
+    settings.classes.push(class(Consistency::Any, Effect::Safe, 2_500 * MS, 0.0));
+    let mut stage = Stage::with(settings, &entries());
+    stage.now += 1_000 * MS;
+    stage.probed(2, stage.now - 10 * MS, false);
+    stage.probed(3, stage.now - 400 * MS, false);
+    let (long, actions) = stage.ask(5);
+    assert_eq!(sent(&actions, long), Some(3), "taken to need longer than the bound");
+    let (short, actions) = stage.ask(ANY);
+    assert_eq!(sent(&actions, short), Some(2));
+}
