--- a/src/rules.rs
+++ b/src/rules.rs
@@ -24,9 +24,13 @@
 /// Times that this pause doubles at the most.
 const RETEST_DOUBLINGS: u32 = 5;
 /// Open attempts that a member may have from here before anything is known of it.
-const FIRST_LIMIT: f64 = 6.0;
+const FIRST_LIMIT: f64 = 3.0;
 /// Share of a member's limit on open attempts that reads may take at a primary; the rest is for writes.
 const READ_SHARE: f64 = 0.6;
+/// Share of an aim, less three times the work, that waiting may take on average: waits vary as much as work.
+const SPARE_SHARE: f64 = 0.35;
+/// Share of a member's limit that client repeats may take which hardly earn anything.
+const SPENT_SHARE: f64 = 0.5;
 /// Weight of a new sample in running means: about the last ten answers count.
 const GAIN: f64 = 0.1;
 /// A limit shrinks to this share when answers take longer than the classes can spare.
@@ -395,12 +399,15 @@
     fn precedence(&self, held: &Held) -> (bool, i64, Micros) {
         let class = &self.settings.classes[held.class];
         let service = &self.services[held.class];
-        // A client's repeat has mostly used up the aim of its first try.
-        let late = self.now + service.mean as Micros > held.arrived + class.aim
-            || (held.repeat && class.late_worth == 0.0);
+        let late = self.now + service.mean as Micros > held.arrived + class.aim || self.is_spent(held);
         (late, -(class.worth * 1e9 / service.base) as i64, held.arrived)
     }
 
+    /// A client's repeat has mostly used up the aim of its first try: often it earns nothing any more.
+    fn is_spent(&self, held: &Held) -> bool {
+        held.repeat && self.settings.classes[held.class].late_worth == 0.0
+    }
+
     // ---- Choice of a member ----
 
     /// Where to send a request now; nowhere: it waits.
@@ -408,7 +415,7 @@
         let consistency = self.settings.classes[held.class].consistency;
         let primary = self.primary(held.group).filter(|p| self.may_send(held, p));
         if matches!(consistency, Consistency::Write | Consistency::Fresh) {
-            return primary.filter(|p| self.has_room(p, 1.0) || self.is_test(p)).map(|p| p.id);
+            return primary.filter(|p| self.has_room(held, p) || self.is_test(p)).map(|p| p.id);
         }
         let heard = self.groups.get(&held.group).is_some_and(|g| g.heard);
         if !heard && self.now < self.started + FRESH_HOLD {
@@ -423,29 +430,15 @@
             return Some(suspect.id);
         }
         let good = |m: &&&Member| self.health(m) == Health::Good;
-        let responsive = eligible.iter().filter(good).count();
-        if let Some(id) = self.next_turn(held, eligible.iter().filter(good)) {
-            return Some(id);
-        }
+        let responsive = eligible.iter().any(|m| good(&m)) || primary.is_some_and(|p| good(&&p));
         // No eligible one has room: the primary, as far as writes spare it.
-        if let Some(p) = primary.filter(|p| self.has_room(p, READ_SHARE)) {
-            return Some(p.id);
-        }
+        let spill = || primary.filter(|p| self.has_room(held, p)).map(|p| p.id);
         // Members that enforce freshness themselves turn away what they lag too far behind for: where the
         // primary has no room, one whose record has merely run out may be asked.
-        if self.settings.guards == Guards::Enforced {
-            let unknown = replicas.iter().filter(good).filter(|m| !self.known_behind(held, m));
-            if let Some(id) = self.next_turn(held, unknown) {
-                return Some(id);
-            }
-        }
-        let no_primary = primary.is_none_or(|p| self.health(p) != Health::Good);
-        let suspects = eligible.iter().filter(|m| self.health(m) == Health::PossiblyDead);
-        if responsive == 0 && no_primary {
-            self.next_turn(held, suspects)
-        } else {
-            None
-        }
+        let unknown = |m: &&&Member| self.settings.guards == Guards::Enforced && !self.known_behind(held, m);
+        let ask = || self.next_turn(held, replicas.iter().filter(good).filter(unknown));
+        let suspects = || self.next_turn(held, eligible.iter().filter(|_| !responsive));
+        self.next_turn(held, eligible.iter().filter(good)).or_else(spill).or_else(ask).or_else(suspects)
     }
 
     /// Own zone first, then rotation; one at its limit passes its turn. Any reads that take longer than the
@@ -455,14 +448,18 @@
         let any = self.settings.classes[held.class].consistency == Consistency::Any;
         let long = any && self.services[held.class].base > self.tightest_bound() as f64;
         let lag = |m: &Member| if long { m.heard.saturating_sub(m.position) } else { 0 };
-        let open = among.filter(|m| self.has_room(m, 1.0));
+        let open = among.filter(|m| self.has_room(held, m));
         open.min_by_key(|m| (Reverse(lag(m)), m.zone != self.settings.zone, m.last_turn)).map(|m| m.id)
     }
 
-    fn has_room(&self, m: &Member, share: f64) -> bool {
-        let limit = (m.limit * share * self.warmth(m)).max(1.0);
+    /// Whether a member's limit leaves room: reads take a part of a primary's, spent repeats of any.
+    fn has_room(&self, held: &Held, m: &Member) -> bool {
+        let write = self.settings.classes[held.class].consistency == Consistency::Write;
+        let read_at_primary = !write && self.primary(m.group).is_some_and(|p| p.id == m.id);
+        let share = if read_at_primary { READ_SHARE } else { 1.0 };
+        let share = if self.is_spent(held) { share * SPENT_SHARE } else { share };
         match self.health(m) {
-            Health::Good => (m.open.len() as f64) < limit,
+            Health::Good => (m.open.len() as f64) < (m.limit * share * self.warmth(m)).max(1.0),
             Health::PossiblyDead => m.open.is_empty(),
             Health::Dropped => false,
         }
@@ -729,8 +726,8 @@
         self.mean + 3.0 * self.deviation
     }
 
-    /// Waiting that a member may add while the class's aim still holds.
+    /// Waiting that a member may add on average while the class's aim holds for nearly all.
     fn spare(&self, class: &Class) -> f64 {
-        ((class.aim as f64 - 3.0 * self.base) / 2.0).max(self.base / 2.0).max(1.0)
+        (SPARE_SHARE * (class.aim as f64 - 3.0 * self.base).max(self.base)).max(1.0)
     }
 }
