Clients' patience learnt from early hang-ups

Holds against any cause of early leaving; a few that leave at random move it little. Also: a member that drained and then went stays barred where only draining binds; a served write's commit is never taken for a position, also after its client hung up.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,6 +31,8 @@
 const SPARE_SHARE: f64 = 0.35;
 /// Share of a member's limit that client repeats may take which hardly earn anything.
 const SPENT_SHARE: f64 = 0.5;
+/// Share of the way back to the aim that clients' patience is taken to go with each served request.
+const PATIENCE_GAIN: f64 = 0.005;
 /// Weight of a new sample in running means: about the last ten answers count.
 const GAIN: f64 = 0.1;
 /// A limit shrinks to this share when answers take longer than the classes can spare.
@@ -115,7 +117,6 @@
     repeat: bool,
     /// Position that a member must have reached to serve it (sessions).
     floor: Micros,
-    attempts: u32,
     /// When its last attempt was sent, and whether that is still out.
     sent: Micros,
     out: bool,
@@ -130,6 +131,9 @@
     deviation: f64,
     /// Mean when nothing waits: the least that the mean has been, slowly forgotten.
     base: f64,
+    aim: f64,
+    /// Age at which clients hang up unannounced; the aim where they keep the time they named.
+    patience: f64,
 }
 
 /// One instance of the decision module.
@@ -145,7 +149,6 @@
     /// Commits that sessions must see, where the router remembers them.
     sessions: BTreeMap<SessionId, Micros>,
     turn: u64,
-    ticking: bool,
     resubscribe_at: Option<Micros>,
     resubscribe_pause: Micros,
 }
@@ -153,10 +156,8 @@
 impl Router {
     /// A router that knows nothing but its settings; the seed is its only randomness.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
-        // Until answers come, a class is taken to need a quarter of its aim.
-        let first = |aim: f64| Service { mean: aim / 4.0, deviation: aim / 8.0, base: aim / 4.0 };
         Router {
-            services: settings.classes.iter().map(|c| first(c.aim as f64)).collect(),
+            services: settings.classes.iter().map(|c| Service::new(c.aim as f64)).collect(),
             settings,
             random: seed,
             now,
@@ -166,7 +167,6 @@
             held: BTreeMap::new(),
             sessions: BTreeMap::new(),
             turn: 0,
-            ticking: false,
             resubscribe_at: None,
             resubscribe_pause: RESUBSCRIBE,
         }
@@ -183,13 +183,9 @@
                 self.on_outcome(ended, out);
             }
             Event::ProbeEnded { member, outcome, report } => self.on_probe(*member, *outcome, report, out),
-            Event::HungUp(request) => drop(self.held.remove(request)),
+            Event::HungUp(request) => self.on_hang_up(*request),
             Event::Timer => self.on_tick(out),
         }
-        if !self.ticking {
-            self.ticking = true;
-            out.push(Action::SetTimer(self.settings.step * TICK_STEPS));
-        }
     }
 
     // ---- The list ----
@@ -217,6 +213,7 @@
         if kind == ListKind::Cached {
             let ids: Vec<MemberId> = self.members.keys().copied().collect();
             ids.into_iter().for_each(|id| self.probe(id, 0, out));
+            out.push(Action::SetTimer(self.settings.step * TICK_STEPS));
         }
         self.pump_all(out);
     }
@@ -228,7 +225,7 @@
         m.barred = match entry.listed {
             Listed::Ready => false,
             Listed::Draining => true,
-            Listed::Gone => !self.settings.rules.only_draining_binds,
+            Listed::Gone => m.barred || !self.settings.rules.only_draining_binds,
         };
         let restarted = entry.started > m.started;
         if restarted {
@@ -251,7 +248,7 @@
     fn learn(&mut self, id: MemberId, position: Option<Micros>, role: Option<Role>, at: Micros) {
         let Some(m) = self.members.get_mut(&id) else { return };
         let Some(group) = self.groups.get_mut(&m.group) else { return };
-        group.heard = true;
+        group.heard |= role.is_some();
         // A position ahead of the clock can't be true.
         if let Some(p) = position.filter(|&p| p >= m.position && p <= self.now) {
             (m.position, m.heard) = (p, self.now);
@@ -266,8 +263,7 @@
         }
     }
 
-    /// A report is as old as its period and delay: it speaks of the time of its position, which for a
-    /// primary is the present.
+    /// A report speaks of the time of its position, which for a primary was the present.
     fn learn_report(&mut self, id: MemberId, report: &Report) {
         if let Some(position) = report.position.filter(|&p| p <= self.now) {
             self.learn(id, report.position, report.role, position);
@@ -278,14 +274,15 @@
     fn on_answer(&mut self, ended: &Ended) {
         let (id, outcome) = (ended.member, ended.outcome);
         self.learn_report(id, &ended.report);
-        let commit = outcome == Outcome::Served && self.is_write(ended.request);
-        if ended.note.role.is_some() {
-            self.learn(id, ended.note.position.filter(|_| !commit), ended.note.role, self.now);
-        }
         let now = self.now;
         let Some(m) = self.members.get_mut(&id) else { return };
         let Some(at) = m.open.iter().position(|o| o.request == ended.request) else { return };
         let attempt = m.open.swap_remove(at);
+        // What a served write's note tells is its commit, no position to count on.
+        let write = self.settings.classes[attempt.class].consistency == Consistency::Write;
+        let position = ended.note.position.filter(|_| !write || outcome != Outcome::Served);
+        self.learn(id, position, ended.note.role, now);
+        let Some(m) = self.members.get_mut(&id) else { return };
         match outcome {
             Outcome::Served | Outcome::Misplaced | Outcome::Full | Outcome::Error => {
                 (m.failures, m.stalls, m.last_answer) = (0, 0, now);
@@ -295,9 +292,8 @@
             Outcome::Unreachable | Outcome::Reset => m.failures += 1,
             _ => {}
         }
-        let class = &self.settings.classes[attempt.class];
         let service = &mut self.services[attempt.class];
-        let spare = service.spare(class);
+        let spare = service.spare();
         let strain = match outcome {
             Outcome::Served => (ended.took as f64 - service.base) / spare,
             Outcome::TimedOut | Outcome::Full => 3.0,
@@ -321,10 +317,8 @@
         m.probe_out = false;
         if outcome == Outcome::Served {
             // It may have restarted unseen while it was dropped: cold until proven warm.
-            if m.failures >= DROP_FAILURES {
-                m.started = m.started.max(Some(self.now));
-            }
-            m.failures = 0;
+            let restarted = Some(self.now).filter(|_| m.failures >= DROP_FAILURES);
+            (m.started, m.failures) = (m.started.max(restarted), 0);
             self.learn_report(id, report);
         } else {
             m.failures += 1;
@@ -399,7 +393,8 @@
     fn precedence(&self, held: &Held) -> (bool, i64, Micros) {
         let class = &self.settings.classes[held.class];
         let service = &self.services[held.class];
-        let late = self.now + service.mean as Micros > held.arrived + class.aim || self.is_spent(held);
+        let late = self.now + service.mean as Micros > held.arrived + service.patience as Micros
+            || self.is_spent(held);
         (late, -(class.worth * 1e9 / service.base) as i64, held.arrived)
     }
 
@@ -495,7 +490,7 @@
     /// Rules 1 to 5, as far as they bind a send.
     fn may_send(&self, held: &Held, m: &Member) -> bool {
         let consistency = self.settings.classes[held.class].consistency;
-        let in_time = self.now < held.ends && held.attempts < self.settings.limits.max_attempts;
+        let in_time = self.now < held.ends && held.tried.len() < self.settings.limits.max_attempts as usize;
         let enforced = self.settings.guards == Guards::Enforced && consistency != Consistency::Write;
         let primary = self.primary(held.group).is_some_and(|p| p.id == m.id);
         let fresh = primary || enforced || self.is_fresh(held, m);
@@ -558,13 +553,12 @@
         let service = &self.services[held.class];
         // A safe read leaves room for one more try within its aim; what may not be repeated is waited for.
         let tail = service.tail() as Micros;
-        let left = (held.arrived + class.aim).saturating_sub(now);
+        let left = (held.arrived + service.patience as Micros).saturating_sub(now);
         let timeout = match left.saturating_sub(tail) {
             spare if class.effect != Effect::Safe || spare <= tail => 0,
             _ if m.stalls > 0 => tail,
             spare => spare,
         };
-        held.attempts += 1;
         (held.sent, held.out) = (now, true);
         held.tried.push(to);
         m.open.push(Open { request: id, sent: now, class: held.class });
@@ -576,13 +570,10 @@
 
     // ---- Outcome ----
 
-    fn is_write(&self, id: RequestId) -> bool {
-        self.held.get(&id).is_some_and(|h| self.settings.classes[h.class].consistency == Consistency::Write)
-    }
-
     fn on_outcome(&mut self, ended: &Ended, out: &mut Vec<Action>) {
-        let (id, write) = (ended.request, self.is_write(ended.request));
+        let id = ended.request;
         let Some(held) = self.held.get_mut(&id) else { return };
+        let write = self.settings.classes[held.class].consistency == Consistency::Write;
         let group = held.group;
         held.out = false;
         if !ended.outcome.never_ran() && held.risk.is_none() {
@@ -604,19 +595,31 @@
 
     /// Whether another attempt is allowed and has a chance.
     fn may_retry(&self, id: RequestId) -> bool {
-        let limit = self.settings.limits.max_attempts;
-        let chance = |h: &Held| h.attempts < limit && self.now < self.hopeless_at(h);
+        let limit = self.settings.limits.max_attempts as usize;
+        let chance = |h: &Held| h.tried.len() < limit && self.now < self.hopeless_at(h);
         self.held.get(&id).is_some_and(|held| self.may_repeat(held, None) && chance(held))
     }
 
     // ---- Giving up ----
 
+    /// Clients that hang up before the time they named show how long they really wait, whatever makes them
+    /// leave: what takes longer is lost on them. A few that leave at random move little.
+    fn on_hang_up(&mut self, id: RequestId) {
+        let Some(held) = self.held.remove(&id) else { return };
+        let (service, age) = (&mut self.services[held.class], (self.now - held.arrived) as f64);
+        if self.now + self.settings.step * TICK_STEPS < held.ends && age < service.patience {
+            service.patience += GAIN * (age - service.patience);
+        }
+    }
+
     /// From here on an attempt would hardly end in time to earn anything.
     fn hopeless_at(&self, held: &Held) -> Micros {
         let class = &self.settings.classes[held.class];
-        let base = self.services[held.class].base as Micros;
+        let service = &self.services[held.class];
+        let base = service.base as Micros;
         let end = held.ends.saturating_sub(2 * self.settings.step * TICK_STEPS);
-        let useful = if class.late_worth > 0.0 { held.ends } else { held.ends.min(held.arrived + class.aim) };
+        let patient = class.late_worth > 0.0 && service.patience >= service.aim;
+        let useful = if patient { held.ends } else { held.arrived + service.patience as Micros };
         end.min(useful.saturating_sub(base))
     }
 
@@ -715,10 +718,16 @@
 }
 
 impl Service {
+    /// Until answers come, a class is taken to need a quarter of its aim.
+    fn new(aim: f64) -> Self {
+        Service { mean: aim / 4.0, deviation: aim / 8.0, base: aim / 4.0, aim, patience: aim }
+    }
+
     fn add(&mut self, took: f64) {
         self.deviation += GAIN / 2.0 * ((took - self.mean).abs() - self.deviation);
         self.mean += GAIN / 2.0 * (took - self.mean);
         self.base = self.base.min(self.mean);
+        self.patience += PATIENCE_GAIN * (self.aim - self.patience);
     }
 
     /// Nearly all answers come within this.
@@ -727,7 +736,7 @@
     }
 
     /// Waiting that a member may add on average while the class's aim holds for nearly all.
-    fn spare(&self, class: &Class) -> f64 {
-        (SPARE_SHARE * (class.aim as f64 - 3.0 * self.base).max(self.base)).max(1.0)
+    fn spare(&self) -> f64 {
+        (SPARE_SHARE * (self.patience - 3.0 * self.base).max(self.base)).max(1.0)
     }
 }
--- a/tests/rules_kept.rs
+++ b/tests/rules_kept.rs
@@ -188,3 +188,14 @@
     let (id, actions) = stage.ask(99);
     assert!(failed(&actions, id));
 }
+
+#[test]
+fn a_member_that_drained_and_then_went_stays_barred_where_only_draining_binds() {
+    let mut settings = settings();
+    settings.rules.only_draining_binds = true;
+    let mut stage = Stage::with(settings, &entries());
+    stage.list(ListKind::Delta, &[Entry { listed: Listed::Draining, ..entry(2, 0, false) }]);
+    stage.list(ListKind::Delta, &[Entry { listed: Listed::Gone, ..entry(2, 0, false) }]);
+    let (id, actions) = stage.ask(READ);
+    assert_eq!(sent(&actions, id), Some(3));
+}
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -117,3 +117,18 @@
     let (short, actions) = stage.ask(ANY);
     assert_eq!(sent(&actions, short), Some(2));
 }
+
+#[test]
+fn clients_that_hang_up_early_are_not_kept_waiting_longer_than_they_stay() {
+    let mut stage = Stage::new();
+    for _ in 0..60 {
+        let (id, _) = stage.ask(WRITE);
+        stage.now += 200 * MS;
+        stage.event(Event::HungUp(id));
+        stage.ended(id, 1, Outcome::Served, stage.note(Role::Primary));
+    }
+    stage.list(ListKind::Full, &[entry(2, 0, false)]);
+    let (id, _) = stage.ask(WRITE);
+    let actions = stage.pass(250 * MS);
+    assert!(refused(&actions, id), "its client would be gone by then");
+}
