The class served worst counts more in the line; sends on outdated records go

Now the class served worst of late gains what the goal gives the worst class, in that class's measure. May hurt a class that is served badly for reasons the line can't mend. Hopelessness is one test: a keyed request past its window is now failed at once.

--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -8,6 +8,8 @@
 struct Facts {
     discovery: String,
     extra: Extra,
+    #[serde(default)]
+    goal: Goal,
     limits: Limits,
     load_report: LoadReport,
     request_classes: Vec<Class>,
@@ -16,11 +18,18 @@
     zone: u16,
 }
 
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Goal {
+    whole: f64,
+    worst_window: f64,
+    worst_class: f64,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Extra {
     consistency: Vec<String>,
-    guards: String,
     #[serde(default)]
     session_marks: Option<String>,
     #[serde(default)]
@@ -117,16 +126,15 @@
         zone: api::ZoneId(facts.zone),
         step: facts.step_us,
         classes,
+        goal: api::Goal {
+            whole: facts.goal.whole + facts.goal.worst_window,
+            worst_class: facts.goal.worst_class,
+        },
         discovery: match facts.discovery.as_str() {
             "pushed" => api::Discovery::Pushed,
             "on_request" => api::Discovery::OnRequest,
             other => return Err(unknown("discovery", other)),
         },
-        guards: match facts.extra.guards.as_str() {
-            "silent" => api::Guards::Silent,
-            "reject" | "hold" => api::Guards::Enforced,
-            other => return Err(unknown("extra.guards", other)),
-        },
         session_marks: match facts.extra.session_marks.as_deref() {
             Some("router") => api::SessionMarks::Router,
             Some("client") | None => api::SessionMarks::Client,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -96,15 +96,6 @@
     OnRequest,
 }
 
-/// What members do with a read that they lag too far behind for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Guards {
-    /// They answer from what they have.
-    Silent,
-    /// They turn it away untouched, at once or after a short wait.
-    Enforced,
-}
-
 /// Who knows what a session has written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SessionMarks {
@@ -146,6 +137,15 @@
     pub fall_window: Micros,
 }
 
+/// How served worth is weighed, as a share of what was asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Goal {
+    /// Weight of all traffic, at any time.
+    pub whole: f64,
+    /// Weight of the class that is served worst.
+    pub worst_class: f64,
+}
+
 /// All that a router is told at start.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -155,10 +155,10 @@
     pub step: Micros,
     /// Request classes, by index.
     pub classes: Vec<Class>,
+    /// How served worth is weighed.
+    pub goal: Goal,
     /// How lists come.
     pub discovery: Discovery,
-    /// What members enforce themselves.
-    pub guards: Guards,
     /// Who knows what a session has written.
     pub session_marks: SessionMarks,
     /// What the site permits.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,8 +37,8 @@
 const GAIN: f64 = 0.1;
 /// A limit shrinks to this share when answers take longer than the classes can spare.
 const CUT: f64 = 0.8;
-/// Time over which a higher mean becomes a class's base time, in microseconds: far over any jam.
-const BASE_MEMORY: f64 = 100e6;
+/// Time after which what was learnt of classes is mostly forgotten, in microseconds: longer than a jam.
+const MEMORY: f64 = 50e6;
 /// Share of the cold budget that is used: the rest is for what cannot be seen from here.
 const COLD_MARGIN: f64 = 0.5;
 /// First pause before subscribing anew, in microseconds; it doubles, to a quarter of the time allowed.
@@ -132,6 +132,9 @@
     /// Mean when nothing waits: the least that the mean has been, slowly forgotten.
     base: f64,
     aim: f64,
+    /// Worth asked for and worth served in time, of late.
+    asked: f64,
+    served: f64,
     /// Age at which clients hang up unannounced; the aim where they keep the time they named.
     patience: f64,
 }
@@ -198,11 +201,7 @@
             self.resubscribe_at = Some(self.now + self.resubscribe_pause / 2 + jitter);
             return;
         }
-        if kind == ListKind::Cached && self.settings.discovery == Discovery::OnRequest {
-            out.push(Action::Subscribe);
-        } else {
-            (self.resubscribe_pause, self.resubscribe_at) = (RESUBSCRIBE, None);
-        }
+        (self.resubscribe_pause, self.resubscribe_at) = (RESUBSCRIBE, None);
         if kind != ListKind::Delta {
             let listed: Vec<MemberId> = entries.iter().map(|e| e.member).collect();
             for (_, m) in self.members.iter_mut().filter(|(id, _)| !listed.contains(id)) {
@@ -214,12 +213,14 @@
             let ids: Vec<MemberId> = self.members.keys().copied().collect();
             ids.into_iter().for_each(|id| self.probe(id, 0, out));
             out.push(Action::SetTimer(self.settings.step * TICK_STEPS));
+            out.extend((self.settings.discovery == Discovery::OnRequest).then_some(Action::Subscribe));
         }
         self.pump_all(out);
     }
 
     fn on_entry(&mut self, entry: &Entry) {
-        let m = self.members.entry(entry.member).or_insert_with(|| Member::new(entry));
+        let new = Member { id: entry.member, limit: FIRST_LIMIT, ..Member::default() };
+        let m = self.members.entry(entry.member).or_insert(new);
         let claims = entry.primary && !m.listed_primary;
         (m.group, m.zone, m.listed_primary) = (entry.group, entry.zone, entry.primary);
         m.barred = match entry.listed {
@@ -349,6 +350,7 @@
         let Some(class) = self.settings.classes.get(request.class) else {
             return out.push(Action::Fail(request.id));
         };
+        self.services[request.class].asked += if request.repeat { 0.0 } else { class.worth };
         let told = request.last_write_ago.map(|ago| self.now.saturating_sub(ago));
         let remembered = request.session.and_then(|s| self.sessions.get(&s)).copied();
         let floor = match (class.consistency, self.settings.session_marks) {
@@ -393,9 +395,20 @@
     fn precedence(&self, held: &Held) -> (bool, i64, Micros) {
         let class = &self.settings.classes[held.class];
         let service = &self.services[held.class];
-        let late = self.now + service.mean as Micros > held.arrived + service.patience as Micros
-            || self.is_spent(held);
-        (late, -(class.worth * 1e9 / service.base) as i64, held.arrived)
+        let gain = class.worth * self.need(held.class) / service.base;
+        let due = held.arrived + service.patience as Micros;
+        let late = self.now + service.mean as Micros > due || self.is_spent(held);
+        (late, -(gain * 1e9) as i64, held.arrived)
+    }
+
+    /// What the goal adds to a class's worth: the class served worst counts once more, in its own measure.
+    fn need(&self, class: usize) -> f64 {
+        let share = |s: &Service| s.served / s.asked.max(1.0);
+        let (goal, service) = (self.settings.goal, &self.services[class]);
+        let worst = self.services.iter().all(|s| share(service) <= share(s));
+        let all: f64 = self.services.iter().map(|s| s.asked).sum();
+        let extra = goal.worst_class / goal.whole.max(0.01) * all / service.asked.max(1.0);
+        1.0 + extra * f64::from(worst)
     }
 
     /// A client's repeat has mostly used up the aim of its first try: often it earns nothing any more.
@@ -418,9 +431,8 @@
         }
         let believed = self.primary(held.group).map(|p| p.id);
         let others = self.members.values().filter(|m| m.group == held.group && Some(m.id) != believed);
-        let replicas: Vec<&Member> =
+        let eligible: Vec<&Member> =
             others.filter(|m| !held.tried.contains(&m.id) && self.may_send(held, m)).collect();
-        let eligible: Vec<&Member> = replicas.iter().filter(|m| self.is_fresh(held, m)).copied().collect();
         if let Some(suspect) = eligible.iter().find(|m| self.is_test(m)) {
             return Some(suspect.id);
         }
@@ -428,12 +440,8 @@
         let responsive = eligible.iter().any(|m| good(&m)) || primary.is_some_and(|p| good(&&p));
         // No eligible one has room: the primary, as far as writes spare it.
         let spill = || primary.filter(|p| self.has_room(held, p)).map(|p| p.id);
-        // Members that enforce freshness themselves turn away what they lag too far behind for: where the
-        // primary has no room, one whose record has merely run out may be asked.
-        let unknown = |m: &&&Member| self.settings.guards == Guards::Enforced && !self.known_behind(held, m);
-        let ask = || self.next_turn(held, replicas.iter().filter(good).filter(unknown));
         let suspects = || self.next_turn(held, eligible.iter().filter(|_| !responsive));
-        self.next_turn(held, eligible.iter().filter(good)).or_else(spill).or_else(ask).or_else(suspects)
+        self.next_turn(held, eligible.iter().filter(good)).or_else(spill).or_else(suspects)
     }
 
     /// Own zone first, then rotation; one at its limit passes its turn. Any reads that take longer than the
@@ -477,23 +485,13 @@
         }
     }
 
-    /// Whether a member was too far behind for this read when it last spoke.
-    fn known_behind(&self, held: &Held, m: &Member) -> bool {
-        match self.settings.classes[held.class].consistency {
-            Consistency::Bounded(bound) => m.heard > m.position.saturating_add(bound),
-            _ => m.position < held.floor,
-        }
-    }
-
     // ---- Guards: every send and every final answer of the module passes these ----
 
     /// Rules 1 to 5, as far as they bind a send.
     fn may_send(&self, held: &Held, m: &Member) -> bool {
-        let consistency = self.settings.classes[held.class].consistency;
         let in_time = self.now < held.ends && held.tried.len() < self.settings.limits.max_attempts as usize;
-        let enforced = self.settings.guards == Guards::Enforced && consistency != Consistency::Write;
         let primary = self.primary(held.group).is_some_and(|p| p.id == m.id);
-        let fresh = primary || enforced || self.is_fresh(held, m);
+        let fresh = primary || self.is_fresh(held, m);
         let placed = !m.barred && m.group == held.group && self.cold_room(m, held.class);
         placed && fresh && !held.out && in_time && self.may_repeat(held, Some(m))
     }
@@ -501,17 +499,13 @@
     /// Rule 2: whether a request may be sent again, to this member if one is given.
     fn may_repeat(&self, held: &Held, to: Option<&Member>) -> bool {
         let Some((sent, first)) = held.risk else { return true };
-        let first = self.members.get(&first);
-        let within = |scope| match (scope, first, to) {
-            (DedupScope::All, _, _) | (_, _, None) => true,
-            (DedupScope::Zone, Some(f), Some(m)) => f.zone == m.zone,
-            (DedupScope::Group, Some(f), Some(m)) => f.group == m.group,
-            _ => false,
-        };
+        let zone = self.members.get(&first).map(|f| f.zone);
         match self.settings.classes[held.class].effect {
             Effect::Safe => true,
             Effect::Unsafe => false,
-            Effect::Keyed(scope, window) => self.now <= sent + window && within(scope),
+            Effect::Keyed(_, window) if self.now > sent + window => false,
+            // A request goes to members of its own group only, so the group's scope holds by itself.
+            Effect::Keyed(scope, _) => scope != DedupScope::Zone || to.is_none_or(|m| Some(m.zone) == zone),
         }
     }
 
@@ -580,26 +574,23 @@
             held.risk = Some((held.sent, ended.member));
         }
         if ended.finished {
+            let service = &mut self.services[held.class];
+            let age = (self.now - held.arrived) as f64;
+            let in_time = ended.outcome == Outcome::Served && age <= service.aim && !held.repeat;
+            service.served += if in_time { self.settings.classes[held.class].worth } else { 0.0 };
             if let (true, Some(session), Some(commit)) = (write, held.session, ended.note.position) {
                 let seen = self.sessions.entry(session).or_insert(0);
                 *seen = (*seen).max(commit);
             }
             self.held.remove(&id);
-        } else if ended.outcome == Outcome::Moot || !self.may_retry(id) {
+        } else if self.held.get(&id).is_none_or(|held| self.is_hopeless(held)) {
             self.give_up(id, out);
-        } else if let Some(g) = self.groups.get_mut(&group) {
-            g.line.push(id);
+        } else {
+            self.groups.entry(group).or_default().line.push(id);
         }
         self.pump(group, out);
     }
 
-    /// Whether another attempt is allowed and has a chance.
-    fn may_retry(&self, id: RequestId) -> bool {
-        let limit = self.settings.limits.max_attempts as usize;
-        let chance = |h: &Held| h.tried.len() < limit && self.now < self.hopeless_at(h);
-        self.held.get(&id).is_some_and(|held| self.may_repeat(held, None) && chance(held))
-    }
-
     // ---- Giving up ----
 
     /// Clients that hang up before the time they named show how long they really wait, whatever makes them
@@ -612,15 +603,16 @@
         }
     }
 
-    /// From here on an attempt would hardly end in time to earn anything.
-    fn hopeless_at(&self, held: &Held) -> Micros {
-        let class = &self.settings.classes[held.class];
-        let service = &self.services[held.class];
-        let base = service.base as Micros;
+    /// Whether another attempt is not allowed, or would hardly end in time to earn anything.
+    fn is_hopeless(&self, held: &Held) -> bool {
+        let (class, service) = (&self.settings.classes[held.class], &self.services[held.class]);
         let end = held.ends.saturating_sub(2 * self.settings.step * TICK_STEPS);
         let patient = class.late_worth > 0.0 && service.patience >= service.aim;
         let useful = if patient { held.ends } else { held.arrived + service.patience as Micros };
-        end.min(useful.saturating_sub(base))
+        let spent = held.tried.len() >= self.settings.limits.max_attempts as usize;
+        spent
+            || !self.may_repeat(held, None)
+            || self.now >= end.min(useful.saturating_sub(service.base as Micros))
     }
 
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
@@ -641,13 +633,17 @@
             self.resubscribe_at = Some(self.now + self.settings.rules.ask_within / 4);
             out.push(Action::Subscribe);
         }
-        let waiting = self.held.iter().filter(|(_, h)| !h.out && self.now >= self.hopeless_at(h));
+        let waiting = self.held.iter().filter(|(_, h)| !h.out && self.is_hopeless(h));
         let lapsed: Vec<RequestId> = waiting.map(|(id, _)| *id).collect();
         lapsed.into_iter().for_each(|id| self.give_up(id, out));
         self.probe_due(out);
         let kept = 1.0 - (tick as f64 / self.settings.rules.fall_window.max(tick) as f64);
         self.members.values_mut().for_each(|m| m.load *= kept);
-        self.services.iter_mut().for_each(|s| s.base += tick as f64 / BASE_MEMORY * (s.mean - s.base));
+        let fade = tick as f64 / MEMORY;
+        for s in &mut self.services {
+            s.base += fade * (s.mean - s.base);
+            (s.asked, s.served) = (s.asked * (1.0 - fade), s.served * (1.0 - fade));
+        }
         self.pump_all(out);
     }
 
@@ -710,17 +706,18 @@
     }
 }
 
-impl Member {
-    fn new(entry: &Entry) -> Self {
-        let (id, group, zone) = (entry.member, entry.group, entry.zone);
-        Member { id, group, zone, limit: FIRST_LIMIT, ..Member::default() }
-    }
-}
-
 impl Service {
     /// Until answers come, a class is taken to need a quarter of its aim.
     fn new(aim: f64) -> Self {
-        Service { mean: aim / 4.0, deviation: aim / 8.0, base: aim / 4.0, aim, patience: aim }
+        Service {
+            mean: aim / 4.0,
+            deviation: aim / 8.0,
+            base: aim / 4.0,
+            aim,
+            asked: 0.0,
+            served: 0.0,
+            patience: aim,
+        }
     }
 
     fn add(&mut self, took: f64) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -31,8 +31,8 @@
             class(Consistency::Session, Effect::Safe, 500 * MS, 0.0),
             class(Consistency::Write, Effect::Unsafe, 600 * MS, 0.3),
         ],
+        goal: Goal { whole: 0.7, worst_class: 0.3 },
         discovery: Discovery::Pushed,
-        guards: Guards::Silent,
         session_marks: SessionMarks::Client,
         limits: Limits {
             max_attempts: 8,
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -132,3 +132,25 @@
     let actions = stage.pass(250 * MS);
     assert!(refused(&actions, id), "its client would be gone by then");
 }
+
+#[test]
+fn the_class_served_worst_goes_first_among_equals() {
+    let mut settings = settings();
+    settings.classes[ANY].aim = settings.classes[READ].aim;
+    let mut stage = Stage::with(settings, &[entry(1, 0, true)]);
+    let mut out = Vec::new();
+    loop {
+        let (id, actions) = stage.ask(READ);
+        match sent(&actions, id) {
+            Some(_) => out.push(id),
+            None => break,
+        }
+    }
+    let (worst, _) = stage.ask(ANY);
+    let actions = stage.ended(out[0], 1, Outcome::Served, stage.note(Role::Primary));
+    let first = actions.iter().find_map(|a| match a {
+        Action::Send { request, .. } => Some(*request),
+        _ => None,
+    });
+    assert_eq!(first, Some(worst), "it came last, but none of its class has been served");
+}
