--- a/tests/rules_kept.rs
+++ b/tests/rules_kept.rs
@@ -199,3 +199,19 @@
     let (id, actions) = stage.ask(READ);
     assert_eq!(sent(&actions, id), Some(3));
 }
+
+#[test]
+fn a_write_whose_repeats_a_zone_drops_is_not_resent_to_another_zone() {
+    let mut settings = settings();
+    settings.classes[WRITE].effect = Effect::Keyed(DedupScope::Zone, WINDOW);
+    let mut stage = Stage::with(settings, &entries());
+    let (id, _) = stage.ask(WRITE);
+    stage.now += 50 * MS;
+    stage.ended(id, 1, Outcome::Error, stage.note(Role::Replica));
+    stage.now += 20 * MS;
+    let mut actions = stage.probed(3, stage.now, true);
+    actions.extend(stage.pass(100 * MS));
+    assert_eq!(sent(&actions, id), None, "the new primary is in another zone");
+    let (fresh, actions) = stage.ask(WRITE);
+    assert_eq!(sent(&actions, fresh), Some(3), "a write that never ran may go there");
+}
