Sessions are forgotten after a minute; memory of remembered commits stays bounded

Where the router remembers sessions, each write left an entry for good. A session without an entry now needs a position newer than a minute ago, which covers every forgotten commit.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -2,7 +2,6 @@
 //! arrival, choice of member, guards, sending, outcome, giving up, and the tick that drives what is due.
 //! The interface (settings, events, actions) is in `src/interface.rs`. Nothing else decides anything.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use crate::interface::*;
@@ -39,6 +38,8 @@
 const CUT: f64 = 0.8;
 /// Time after which what was learnt of classes is mostly forgotten, in microseconds: longer than a jam.
 const MEMORY: f64 = 50e6;
+/// A session whose last commit is older than this needs only a position newer than that, in microseconds.
+const SESSION_MEMORY: Micros = 60_000_000;
 /// Share of the cold budget that is used: the rest is for what cannot be seen from here.
 const COLD_MARGIN: f64 = 0.5;
 /// First pause before subscribing anew, in microseconds; it doubles, to a quarter of the time allowed.
@@ -162,7 +163,7 @@
         Router {
             services: settings.classes.iter().map(|c| Service::new(c.aim as f64)).collect(),
             settings,
-            random: seed,
+            random: seed | 1,
             now,
             started: now,
             members: BTreeMap::new(),
@@ -352,10 +353,11 @@
         };
         self.services[request.class].asked += if request.repeat { 0.0 } else { class.worth };
         let told = request.last_write_ago.map(|ago| self.now.saturating_sub(ago));
+        let forgotten = self.now.saturating_sub(SESSION_MEMORY);
         let remembered = request.session.and_then(|s| self.sessions.get(&s)).copied();
         let floor = match (class.consistency, self.settings.session_marks) {
             (Consistency::Session, SessionMarks::Client) => told.unwrap_or(0),
-            (Consistency::Session, SessionMarks::Router) => remembered.unwrap_or(0),
+            (Consistency::Session, SessionMarks::Router) => remembered.unwrap_or(forgotten),
             _ => 0,
         };
         let (class, group, session, arrived) = (request.class, request.group, request.session, self.now);
@@ -452,7 +454,7 @@
         let long = any && self.services[held.class].base > self.tightest_bound() as f64;
         let lag = |m: &Member| if long { m.heard.saturating_sub(m.position) } else { 0 };
         let open = among.filter(|m| self.has_room(held, m));
-        open.min_by_key(|m| (Reverse(lag(m)), m.zone != self.settings.zone, m.last_turn)).map(|m| m.id)
+        open.min_by_key(|m| (u64::MAX - lag(m), m.zone != self.settings.zone, m.last_turn)).map(|m| m.id)
     }
 
     /// Whether a member's limit leaves room: reads take a part of a primary's, spent repeats of any.
@@ -610,9 +612,8 @@
         let patient = class.late_worth > 0.0 && service.patience >= service.aim;
         let useful = if patient { held.ends } else { held.arrived + service.patience as Micros };
         let spent = held.tried.len() >= self.settings.limits.max_attempts as usize;
-        spent
-            || !self.may_repeat(held, None)
-            || self.now >= end.min(useful.saturating_sub(service.base as Micros))
+        let end = end.min(useful.saturating_sub(service.base as Micros));
+        spent || !self.may_repeat(held, None) || self.now >= end
     }
 
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
@@ -637,6 +638,7 @@
         let lapsed: Vec<RequestId> = waiting.map(|(id, _)| *id).collect();
         lapsed.into_iter().for_each(|id| self.give_up(id, out));
         self.probe_due(out);
+        self.sessions.retain(|_, commit| *commit + SESSION_MEMORY > self.now);
         let kept = 1.0 - (tick as f64 / self.settings.rules.fall_window.max(tick) as f64);
         self.members.values_mut().for_each(|m| m.load *= kept);
         let fade = tick as f64 / MEMORY;
@@ -698,7 +700,6 @@
 
     /// A number under `below`, from the instance's own seed (xorshift).
     fn draw(&mut self, below: Micros) -> Micros {
-        self.random |= 1;
         self.random ^= self.random << 13;
         self.random ^= self.random >> 7;
         self.random ^= self.random << 17;
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -68,6 +68,23 @@
     assert_eq!(sent(&actions, id), Some(1), "no replica is known to have reached the commit");
 }
 
+#[test]
+fn a_forgotten_session_still_sees_its_old_writes() {
+    let mut settings = settings();
+    settings.session_marks = SessionMarks::Router;
+    let mut stage = Stage::with(settings, &entries());
+    let session = |r: &mut Request| r.session = Some(SessionId(9));
+    stage.now += 10_000 * MS;
+    let (id, _) = stage.ask_with(WRITE, 2_000 * MS, session);
+    stage.ended(id, 1, Outcome::Served, stage.note(Role::Primary));
+    stage.pass(120_000 * MS);
+    let (id, actions) = stage.ask_with(SESSION, 2_000 * MS, session);
+    assert_eq!(sent(&actions, id), Some(1), "the replicas' positions are older than the write");
+    stage.probed(2, stage.now - MS, false);
+    let (id, actions) = stage.ask_with(SESSION, 2_000 * MS, session);
+    assert_eq!(sent(&actions, id), Some(2));
+}
+
 #[test]
 fn replicas_take_turns_within_a_zone() {
     let all = [entry(1, 0, true), entry(2, 0, false), entry(3, 0, false)];
