--- a/src/rules.rs
+++ b/src/rules.rs
@@ -612,7 +612,7 @@
         let patient = class.late_worth > 0.0 && service.patience >= service.aim;
         let useful = if patient { held.ends } else { held.arrived + service.patience as Micros };
         let spent = held.tried.len() >= self.settings.limits.max_attempts as usize;
-        let end = end.min(useful.saturating_sub(service.base as Micros));
+        let end = end.min(useful.saturating_sub(service.mean as Micros));
         spent || !self.may_repeat(held, None) || self.now >= end
     }
 
