--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -71,13 +71,15 @@
 pub struct Stage {
     pub router: Router,
     pub now: Micros,
+    /// Time that attempts are said to have taken.
+    pub took: Micros,
     next: u64,
 }
 
 impl Stage {
     /// A router that has its first list, but has heard from no member.
     pub fn silent(settings: Settings, entries: &[Entry]) -> (Stage, Vec<Action>) {
-        let mut stage = Stage { router: Router::new(settings, 7, START), now: START, next: 1 };
+        let mut stage = Stage { router: Router::new(settings, 7, START), now: START, took: 50 * MS, next: 1 };
         let actions = stage.event(Event::List(ListKind::Cached, entries));
         (stage, actions)
     }
@@ -162,7 +164,7 @@
             member: MemberId(member),
             outcome,
             note,
-            took: 50 * MS,
+            took: self.took,
             finished,
             report: Report::default(),
         }))
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -154,3 +154,56 @@
     });
     assert_eq!(first, Some(worst), "it came last, but none of its class has been served");
 }
+
+#[test]
+fn a_read_is_given_up_when_the_mean_answer_would_come_too_late() {
+    let mut stage = Stage::new();
+    for took in [50, 200] {
+        stage.took = took * MS;
+        for _ in 0..100 {
+            stage.probed(2, stage.now, false);
+            let (id, actions) = stage.ask(READ);
+            let member = sent(&actions, id).unwrap();
+            stage.now += 10 * MS;
+            stage.ended(id, member, Outcome::Served, Note::default());
+        }
+    }
+    stage.list(ListKind::Full, &[entry(2, 0, false)]);
+    stage.now += 2 * BOUND;
+    let (id, _) = stage.ask(READ);
+    let actions = stage.pass(100 * MS);
+    assert!(refused(&actions, id), "250 ms are wanted, and answers take 200 of late");
+}
+
+#[test]
+fn a_safe_read_leaves_room_for_one_more_try_and_a_write_is_waited_for() {
+    let mut stage = Stage::new();
+    let timeout = |actions: &[Action]| {
+        actions.iter().find_map(|a| if let Action::Send { timeout, .. } = a { Some(*timeout) } else { None })
+    };
+    for _ in 0..200 {
+        let (id, actions) = stage.ask(ANY);
+        let member = sent(&actions, id).unwrap();
+        stage.ended(id, member, Outcome::Served, Note::default());
+    }
+    let read = timeout(&stage.ask(ANY).1).unwrap();
+    assert!(read > 0 && read < 500 * MS, "{read}");
+    assert_eq!(timeout(&stage.ask(WRITE).1), Some(0));
+}
+
+#[test]
+fn a_member_that_answers_again_after_it_was_dropped_counts_as_cold() {
+    let mut stage = Stage::new();
+    for _ in 0..3 {
+        stage.probe_failed(2);
+    }
+    stage.probed(2, stage.now, false);
+    let mut to_two = 0;
+    for _ in 0..20 {
+        let (id, actions) = stage.ask(ANY);
+        let member = sent(&actions, id).unwrap();
+        to_two += i32::from(member == 2);
+        stage.ended(id, member, Outcome::Served, Note::default());
+    }
+    assert_eq!(to_two, 1, "it may have restarted unseen");
+}
