Tidy-up of the module: one place each for primaries, replicas, the tick and probing

Whether a member is the believed primary was written four times, a group's replicas twice, the tick's length five times, the loop that sends due probes three times; each now has one function. The cold budget summed all members for warm ones too, on every choice: it now ends early. `last_test` held the time of the last send and is named so. The setting for second copies was read by nothing and went.

--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -47,8 +47,6 @@
     retry_after: bool,
     #[serde(default)]
     probes: bool,
-    #[serde(default)]
-    second_copies: bool,
 }
 
 #[derive(Deserialize)]
@@ -145,7 +143,6 @@
             max_retry_after: facts.limits.max_retry_after_us,
             retry_after: facts.limits.retry_after,
             probes: facts.limits.probes,
-            second_copies: facts.limits.second_copies,
         },
         rules: api::RuleFigures {
             ask_within: facts.rules.ask_within_us,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -116,8 +116,6 @@
     pub retry_after: bool,
     /// Whether members may be probed.
     pub probes: bool,
-    /// Whether two attempts of a request may be out together.
-    pub second_copies: bool,
 }
 
 /// The figures of the rules.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -81,7 +81,7 @@
     /// Consecutive attempts without an answer; only answers to real work clear them.
     stalls: u32,
     last_answer: Micros,
-    last_test: Micros,
+    last_sent: Micros,
     open: Vec<Open>,
     /// Open attempts it may have from here, and how strained its answers are (1: all that aims can spare).
     limit: f64,
@@ -127,6 +127,7 @@
 }
 
 /// Observed service times of a class, in microseconds.
+#[derive(Default)]
 struct Service {
     mean: f64,
     deviation: f64,
@@ -192,6 +193,10 @@
         }
     }
 
+    fn tick(&self) -> Micros {
+        self.settings.step * TICK_STEPS
+    }
+
     // ---- The list ----
 
     fn on_list(&mut self, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
@@ -211,9 +216,9 @@
         }
         entries.iter().for_each(|entry| self.on_entry(entry));
         if kind == ListKind::Cached {
-            let ids: Vec<MemberId> = self.members.keys().copied().collect();
-            ids.into_iter().for_each(|id| self.probe(id, 0, out));
-            out.push(Action::SetTimer(self.settings.step * TICK_STEPS));
+            let all = self.members.keys().map(|id| (*id, 0)).collect();
+            self.probe_all(all, out);
+            out.push(Action::SetTimer(self.tick()));
             out.extend((self.settings.discovery == Discovery::OnRequest).then_some(Action::Subscribe));
         }
         self.pump_all(out);
@@ -345,6 +350,14 @@
         self.members.get(&id).filter(|m| !m.barred)
     }
 
+    fn is_primary(&self, m: &Member) -> bool {
+        self.primary(m.group).is_some_and(|p| p.id == m.id)
+    }
+
+    fn replicas(&self, group: GroupId) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(move |m| m.group == group && !self.is_primary(m))
+    }
+
     // ---- Arrival ----
 
     fn on_request(&mut self, request: &Request, out: &mut Vec<Action>) {
@@ -360,9 +373,8 @@
             (Consistency::Session, SessionMarks::Router) => remembered.unwrap_or(forgotten),
             _ => 0,
         };
-        let (class, group, session, arrived) = (request.class, request.group, request.session, self.now);
-        let ends = arrived + request.budget;
-        let repeat = request.repeat;
+        let (class, group, session, repeat) = (request.class, request.group, request.session, request.repeat);
+        let (arrived, ends) = (self.now, self.now + request.budget);
         let held = Held { class, group, session, arrived, ends, repeat, floor, ..Held::default() };
         self.probe_for(&held, out);
         self.held.insert(request.id, held);
@@ -431,10 +443,8 @@
         if !heard && self.now < self.started + FRESH_HOLD {
             return None;
         }
-        let believed = self.primary(held.group).map(|p| p.id);
-        let others = self.members.values().filter(|m| m.group == held.group && Some(m.id) != believed);
-        let eligible: Vec<&Member> =
-            others.filter(|m| !held.tried.contains(&m.id) && self.may_send(held, m)).collect();
+        let untried = self.replicas(held.group).filter(|m| !held.tried.contains(&m.id));
+        let eligible: Vec<&Member> = untried.filter(|m| self.may_send(held, m)).collect();
         if let Some(suspect) = eligible.iter().find(|m| self.is_test(m)) {
             return Some(suspect.id);
         }
@@ -460,8 +470,7 @@
     /// Whether a member's limit leaves room: reads take a part of a primary's, spent repeats of any.
     fn has_room(&self, held: &Held, m: &Member) -> bool {
         let write = self.settings.classes[held.class].consistency == Consistency::Write;
-        let read_at_primary = !write && self.primary(m.group).is_some_and(|p| p.id == m.id);
-        let share = if read_at_primary { READ_SHARE } else { 1.0 };
+        let share = if !write && self.is_primary(m) { READ_SHARE } else { 1.0 };
         let share = if self.is_spent(held) { share * SPENT_SHARE } else { share };
         match self.health(m) {
             Health::Good => (m.open.len() as f64) < (m.limit * share * self.warmth(m)).max(1.0),
@@ -474,7 +483,7 @@
     /// fails doubles the pause: many routers that test often would feed a dead member much of the load.
     fn is_test(&self, m: &Member) -> bool {
         let pause = RETEST << m.stalls.min(RETEST_DOUBLINGS);
-        m.stalls > 0 && m.failures == 0 && m.open.is_empty() && self.now > m.last_test + pause
+        m.stalls > 0 && m.failures == 0 && m.open.is_empty() && self.now > m.last_sent + pause
     }
 
     /// Whether a member's known position is enough for this read.
@@ -492,8 +501,7 @@
     /// Rules 1 to 5, as far as they bind a send.
     fn may_send(&self, held: &Held, m: &Member) -> bool {
         let in_time = self.now < held.ends && held.tried.len() < self.settings.limits.max_attempts as usize;
-        let primary = self.primary(held.group).is_some_and(|p| p.id == m.id);
-        let fresh = primary || self.is_fresh(held, m);
+        let fresh = self.is_primary(m) || self.is_fresh(held, m);
         let placed = !m.barred && m.group == held.group && self.cold_room(m, held.class);
         placed && fresh && !held.out && in_time && self.may_repeat(held, Some(m))
     }
@@ -522,13 +530,14 @@
     /// Rule 4: what a cold member gets within the window stays a part of what this router sends a warm
     /// one in that time; what all routers send a warm one is under its capacity, so the sum keeps the budget.
     fn cold_room(&self, m: &Member, class: usize) -> bool {
+        let (warmth, work) = (self.warmth(m), self.services[class].base);
+        if warmth >= 1.0 || m.load < work / 2.0 {
+            return true;
+        }
         let warm = self.members.values().filter(|o| !o.barred && self.warmth(o) >= 1.0);
         let (count, sum) = warm.fold((0.0, 0.0), |(count, sum), o| (count + 1.0, sum + o.load));
-        let share = self.warmth(m) * self.settings.rules.fall_multiple * COLD_MARGIN;
-        let first = m.load < self.services[class].base / 2.0;
-        self.warmth(m) >= 1.0
-            || first
-            || m.load + self.services[class].base <= sum / f64::max(count, 1.0) * share
+        let share = warmth * self.settings.rules.fall_multiple * COLD_MARGIN;
+        m.load + work <= sum / f64::max(count, 1.0) * share
     }
 
     /// Rule 2: a refusal promises that trying again is harmless.
@@ -560,7 +569,7 @@
         m.open.push(Open { request: id, sent: now, class: held.class });
         m.load += service.base;
         self.turn += 1;
-        (m.last_turn, m.last_test) = (self.turn, now);
+        (m.last_turn, m.last_sent) = (self.turn, now);
         out.push(Action::Send { request: id, member: to, timeout });
     }
 
@@ -599,8 +608,9 @@
     /// leave: what takes longer is lost on them. A few that leave at random move little.
     fn on_hang_up(&mut self, id: RequestId) {
         let Some(held) = self.held.remove(&id) else { return };
+        let early = self.now + self.tick() < held.ends;
         let (service, age) = (&mut self.services[held.class], (self.now - held.arrived) as f64);
-        if self.now + self.settings.step * TICK_STEPS < held.ends && age < service.patience {
+        if early && age < service.patience {
             service.patience += GAIN * (age - service.patience);
         }
     }
@@ -608,7 +618,7 @@
     /// Whether another attempt is not allowed, or would hardly end in time to earn anything.
     fn is_hopeless(&self, held: &Held) -> bool {
         let (class, service) = (&self.settings.classes[held.class], &self.services[held.class]);
-        let end = held.ends.saturating_sub(2 * self.settings.step * TICK_STEPS);
+        let end = held.ends.saturating_sub(2 * self.tick());
         let patient = class.late_worth > 0.0 && service.patience >= service.aim;
         let useful = if patient { held.ends } else { held.arrived + service.patience as Micros };
         let spent = held.tried.len() >= self.settings.limits.max_attempts as usize;
@@ -628,7 +638,7 @@
     // ---- What is due ----
 
     fn on_tick(&mut self, out: &mut Vec<Action>) {
-        let tick = self.settings.step * TICK_STEPS;
+        let tick = self.tick();
         out.push(Action::SetTimer(tick));
         if self.resubscribe_at.is_some_and(|at| at <= self.now) {
             self.resubscribe_at = Some(self.now + self.settings.rules.ask_within / 4);
@@ -658,15 +668,14 @@
     /// are fresh. A record in use is renewed by its answers: probing by the clock would only cost more.
     fn probe_for(&mut self, held: &Held, out: &mut Vec<Action>) {
         let Consistency::Bounded(bound) = self.settings.classes[held.class].consistency else { return };
-        let primary = self.primary(held.group).map(|p| p.id);
-        let others = self.members.values().filter(|m| m.group == held.group && Some(m.id) != primary);
-        let (fresh, stale): (Vec<&Member>, Vec<&Member>) = others.partition(|m| self.is_fresh(held, m));
+        let replicas = self.replicas(held.group);
+        let (fresh, stale): (Vec<&Member>, Vec<&Member>) = replicas.partition(|m| self.is_fresh(held, m));
         let near = |m: &&Member| m.zone == self.settings.zone;
         let due = stale.iter().filter(|m| fresh.is_empty() || (near(m) && !fresh.iter().any(near)));
         // One that lags far needs time to catch up: it is asked less often.
         let pause = |m: &Member| (bound / 2).max(self.now.saturating_sub(m.position) / 4).min(PROBE_PERIOD);
-        let due: Vec<(MemberId, Micros)> = due.map(|m| (m.id, pause(m))).collect();
-        due.into_iter().for_each(|(id, pause)| self.probe(id, pause, out));
+        let due = due.map(|m| (m.id, pause(m))).collect();
+        self.probe_all(due, out);
     }
 
     /// Members in trouble, and those of a group without a primary, are probed while requests name the group.
@@ -684,17 +693,18 @@
                 Some(_) => Some((silent / SEARCH_SPREAD).clamp(SEARCH_PERIOD, PROBE_PERIOD)),
             }
         };
-        let all = self.members.values();
-        let due: Vec<(MemberId, Micros)> = all.filter_map(|m| Some((m.id, pause(m)?))).collect();
-        due.into_iter().for_each(|(id, pause)| self.probe(id, pause, out));
+        let due = self.members.values().filter_map(|m| Some((m.id, pause(m)?))).collect();
+        self.probe_all(due, out);
     }
 
-    /// Probes a member unless it was probed within `pause` or a probe is out.
-    fn probe(&mut self, id: MemberId, pause: Micros, out: &mut Vec<Action>) {
-        let Some(m) = self.members.get_mut(&id) else { return };
-        if self.settings.limits.probes && !m.barred && !m.probe_out && self.now >= m.probe_sent + pause {
-            (m.probe_sent, m.probe_out) = (self.now, true);
-            out.push(Action::Probe(id));
+    /// Probes each member unless it was probed within its pause or a probe is out.
+    fn probe_all(&mut self, due: Vec<(MemberId, Micros)>, out: &mut Vec<Action>) {
+        for (id, pause) in due.into_iter().filter(|_| self.settings.limits.probes) {
+            let Some(m) = self.members.get_mut(&id) else { continue };
+            if !m.barred && !m.probe_out && self.now >= m.probe_sent + pause {
+                (m.probe_sent, m.probe_out) = (self.now, true);
+                out.push(Action::Probe(id));
+            }
         }
     }
 
@@ -710,15 +720,8 @@
 impl Service {
     /// Until answers come, a class is taken to need a quarter of its aim.
     fn new(aim: f64) -> Self {
-        Service {
-            mean: aim / 4.0,
-            deviation: aim / 8.0,
-            base: aim / 4.0,
-            aim,
-            asked: 0.0,
-            served: 0.0,
-            patience: aim,
-        }
+        let mean = aim / 4.0;
+        Service { mean, deviation: mean / 2.0, base: mean, aim, patience: aim, ..Service::default() }
     }
 
     fn add(&mut self, took: f64) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -34,13 +34,7 @@
         goal: Goal { whole: 0.7, worst_class: 0.3 },
         discovery: Discovery::Pushed,
         session_marks: SessionMarks::Client,
-        limits: Limits {
-            max_attempts: 8,
-            max_retry_after: 1_000 * MS,
-            retry_after: true,
-            probes: true,
-            second_copies: false,
-        },
+        limits: Limits { max_attempts: 8, max_retry_after: 1_000 * MS, retry_after: true, probes: true },
         rules: RuleFigures {
             ask_within: 10_000 * MS,
             only_draining_binds: false,
