What one router may send is a share of its own traffic; rule 4 by lot; groups indexed

Cause: at full size each router's smallest allowance (one open attempt, one first send to a cold member, one test of a silent one every second) times 60 to 230 routers was many times what a member can do. Guards against any state in which many routers know little each; may hurt where few answers are not typical (a share recovers in seconds). Evidence that a stalled router's time-outs were not the member's: they had waited less than nearly all answers take.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -135,26 +135,17 @@
     pub fall_window: Micros,
 }
 
-/// How served worth is weighed, as a share of what was asked for.
-#[derive(Clone, Copy, Debug)]
-pub struct Goal {
-    /// Weight of all traffic, at any time.
-    pub whole: f64,
-    /// Weight of the class that is served worst.
-    pub worst_class: f64,
-}
-
 /// All that a router is told at start.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// The zone in which this router runs.
     pub zone: ZoneId,
+    /// How many routers serve this store; what one may have open, all may have at once.
+    pub routers: u32,
     /// Least time between two rounds of events.
     pub step: Micros,
     /// Request classes, by index.
     pub classes: Vec<Class>,
-    /// How served worth is weighed.
-    pub goal: Goal,
     /// How lists come.
     pub discovery: Discovery,
     /// Who knows what a session has written.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,8 +1,7 @@
-//! Every decision of the routing service, in the order of a request's life: the list, the members' records,
-//! arrival, choice of member, guards, sending, outcome, giving up, and the tick that drives what is due.
-//! The interface (settings, events, actions) is in `src/interface.rs`. Nothing else decides anything.
+//! Every decision of the routing service, in the order of a request's life; nothing else decides anything.
+//! The interface (settings, events, actions) is in `src/interface.rs`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::*;
 
@@ -18,15 +17,11 @@
 const FRESH_HOLD: Micros = 150_000;
 /// Consecutive failures after which a member is dropped (the design's default).
 const DROP_FAILURES: u32 = 3;
-/// Pause between real requests that test a member which answers probes but no work, in microseconds.
-const RETEST: Micros = 1_000_000;
-/// Times that this pause doubles at the most.
-const RETEST_DOUBLINGS: u32 = 5;
 /// Open attempts that a member may have from here before anything is known of it.
 const FIRST_LIMIT: f64 = 3.0;
 /// Share of a member's limit on open attempts that reads may take at a primary; the rest is for writes.
 const READ_SHARE: f64 = 0.6;
-/// Share of an aim, less three times the work, that waiting may take on average: waits vary as much as work.
+/// Share of an aim, less three times the work, that waiting may take on average.
 const SPARE_SHARE: f64 = 0.35;
 /// Share of a member's limit that client repeats may take which hardly earn anything.
 const SPENT_SHARE: f64 = 0.5;
@@ -34,18 +29,22 @@
 const PATIENCE_GAIN: f64 = 0.005;
 /// Weight of a new sample in running means: about the last ten answers count.
 const GAIN: f64 = 0.1;
-/// A limit shrinks to this share when answers take longer than the classes can spare.
-const CUT: f64 = 0.8;
+/// Answers this far apart each count fully for how strained a member is, in microseconds.
+const SPARSE: f64 = 1e6;
+/// Open attempts that all routers together may have at a member whatever it answers.
+const LEAST_OPEN: f64 = 3.0;
+/// Share of these for a member that does not answer: a test now and then, by each router's own traffic.
+const SILENT_SHARE: f64 = 0.02;
+/// Time in which a limit under one doubles without news, in microseconds.
+const RECOVERY: f64 = 2e6;
 /// Time after which what was learnt of classes is mostly forgotten, in microseconds: longer than a jam.
 const MEMORY: f64 = 50e6;
 /// A session whose last commit is older than this needs only a position newer than that, in microseconds.
 const SESSION_MEMORY: Micros = 60_000_000;
 /// Share of the cold budget that is used: the rest is for what cannot be seen from here.
 const COLD_MARGIN: f64 = 0.5;
-/// First pause before subscribing anew, in microseconds; it doubles, to a quarter of the time allowed.
-const RESUBSCRIBE: Micros = 300_000;
 
-/// How far a member can be trusted with work.
+/// How far a member can be trusted.
 #[derive(Clone, Copy, PartialEq)]
 enum Health {
     Good,
@@ -78,29 +77,26 @@
     listed_primary: bool,
     /// Consecutive failures of probes and connections; any answer clears them.
     failures: u32,
-    /// Consecutive attempts without an answer; only answers to real work clear them.
-    stalls: u32,
+    /// An attempt had no answer in time, nor has any since; only real work done clears this.
+    silent: bool,
     last_answer: Micros,
     last_sent: Micros,
     open: Vec<Open>,
-    /// Open attempts it may have from here, and how strained its answers are (1: all that aims can spare).
+    /// Open attempts it may have from here, under one the share of requests; as of the last answer.
     limit: f64,
-    strain: f64,
-    cut_at: Micros,
-    last_turn: u64,
+    told_at: Micros,
     probe_sent: Micros,
     probe_out: bool,
-    /// Work sent from here of late, forgotten over the window of the cold rule; in microseconds.
+    /// Work sent from here, as it was at the last send; forgotten over the window of the cold rule.
     load: f64,
 }
 
 /// What is known of a group.
 #[derive(Default)]
 struct Group {
+    members: Vec<MemberId>,
     /// The last known primary, and the time that the evidence speaks of.
     primary: Option<(MemberId, Micros)>,
-    /// Whether a member of it has spoken since start.
-    heard: bool,
     /// When a request last named it.
     asked: Micros,
     /// Requests that wait for a member.
@@ -116,6 +112,8 @@
     arrived: Micros,
     ends: Micros,
     repeat: bool,
+    /// Drawn once: what goes by share takes or leaves a request for good, however often it is looked at.
+    lot: u64,
     /// Position that a member must have reached to serve it (sessions).
     floor: Micros,
     /// When its last attempt was sent, and whether that is still out.
@@ -134,9 +132,6 @@
     /// Mean when nothing waits: the least that the mean has been, slowly forgotten.
     base: f64,
     aim: f64,
-    /// Worth asked for and worth served in time, of late.
-    asked: f64,
-    served: f64,
     /// Age at which clients hang up unannounced; the aim where they keep the time they named.
     patience: f64,
 }
@@ -144,6 +139,7 @@
 /// One instance of the decision module.
 pub struct Router {
     settings: Settings,
+    tick: Micros,
     random: u64,
     now: Micros,
     started: Micros,
@@ -153,9 +149,9 @@
     services: Vec<Service>,
     /// Commits that sessions must see, where the router remembers them.
     sessions: BTreeMap<SessionId, Micros>,
-    turn: u64,
+    /// Groups that were asked of late or have a line.
+    busy: BTreeSet<GroupId>,
     resubscribe_at: Option<Micros>,
-    resubscribe_pause: Micros,
 }
 
 impl Router {
@@ -163,6 +159,7 @@
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
         Router {
             services: settings.classes.iter().map(|c| Service::new(c.aim as f64)).collect(),
+            tick: settings.step * TICK_STEPS,
             settings,
             random: seed | 1,
             now,
@@ -171,9 +168,8 @@
             groups: BTreeMap::new(),
             held: BTreeMap::new(),
             sessions: BTreeMap::new(),
-            turn: 0,
+            busy: BTreeSet::new(),
             resubscribe_at: None,
-            resubscribe_pause: RESUBSCRIBE,
         }
     }
 
@@ -183,45 +179,36 @@
         match event {
             Event::List(kind, entries) => self.on_list(*kind, entries, out),
             Event::Request(request) => self.on_request(request, out),
-            Event::AttemptEnded(ended) => {
-                self.on_answer(ended);
-                self.on_outcome(ended, out);
-            }
+            Event::AttemptEnded(ended) => self.on_outcome(ended, out),
             Event::ProbeEnded { member, outcome, report } => self.on_probe(*member, *outcome, report, out),
             Event::HungUp(request) => self.on_hang_up(*request),
             Event::Timer => self.on_tick(out),
         }
     }
 
-    fn tick(&self) -> Micros {
-        self.settings.step * TICK_STEPS
-    }
-
     // ---- The list ----
 
     fn on_list(&mut self, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
-            let longest = (self.settings.rules.ask_within / 4).max(1);
-            self.resubscribe_pause = (self.resubscribe_pause * 2).min(longest);
-            let jitter = self.draw(self.resubscribe_pause);
-            self.resubscribe_at = Some(self.now + self.resubscribe_pause / 2 + jitter);
+            // Anywhere within a quarter of the time allowed: a whole fleet may have failed at once.
+            let pause = self.draw(self.settings.rules.ask_within / 4);
+            self.resubscribe_at = Some(self.now + pause);
             return;
         }
-        (self.resubscribe_pause, self.resubscribe_at) = (RESUBSCRIBE, None);
+        self.resubscribe_at = None;
         if kind != ListKind::Delta {
-            let listed: Vec<MemberId> = entries.iter().map(|e| e.member).collect();
-            for (_, m) in self.members.iter_mut().filter(|(id, _)| !listed.contains(id)) {
-                m.barred |= !self.settings.rules.only_draining_binds;
-            }
+            let binds = !self.settings.rules.only_draining_binds;
+            let listed = |m: &Member| entries.iter().any(|e| e.member == m.id);
+            self.members.values_mut().for_each(|m| m.barred |= binds && !listed(m));
         }
         entries.iter().for_each(|entry| self.on_entry(entry));
         if kind == ListKind::Cached {
             let all = self.members.keys().map(|id| (*id, 0)).collect();
             self.probe_all(all, out);
-            out.push(Action::SetTimer(self.tick()));
+            out.push(Action::SetTimer(self.tick));
             out.extend((self.settings.discovery == Discovery::OnRequest).then_some(Action::Subscribe));
         }
-        self.pump_all(out);
+        self.pump_busy(out);
     }
 
     fn on_entry(&mut self, entry: &Entry) {
@@ -236,9 +223,12 @@
         };
         let restarted = entry.started > m.started;
         if restarted {
-            (m.started, m.failures, m.stalls) = (entry.started, 0, 0);
+            (m.started, m.failures, m.silent) = (entry.started, 0, false);
         }
         let group = self.groups.entry(entry.group).or_default();
+        if !group.members.contains(&entry.member) {
+            group.members.push(entry.member);
+        }
         // The list is late: it names a primary only where nothing better is known, and never one that has
         // since said that it is none, unless the list has changed to it.
         let denied = m.denied > 0 && self.now <= m.denied + PROBE_PERIOD;
@@ -251,11 +241,10 @@
 
     // ---- The members' records ----
 
-    /// Takes what a member said of its position and role; `at` is the time that the evidence speaks of.
+    /// Takes what a member said of itself; `at` is the time that the evidence speaks of.
     fn learn(&mut self, id: MemberId, position: Option<Micros>, role: Option<Role>, at: Micros) {
         let Some(m) = self.members.get_mut(&id) else { return };
-        let Some(group) = self.groups.get_mut(&m.group) else { return };
-        group.heard |= role.is_some();
+        let group = self.groups.entry(m.group).or_default();
         // A position ahead of the clock can't be true.
         if let Some(p) = position.filter(|&p| p >= m.position && p <= self.now) {
             (m.position, m.heard) = (p, self.now);
@@ -272,9 +261,8 @@
 
     /// A report speaks of the time of its position, which for a primary was the present.
     fn learn_report(&mut self, id: MemberId, report: &Report) {
-        if let Some(position) = report.position.filter(|&p| p <= self.now) {
-            self.learn(id, report.position, report.role, position);
-        }
+        let at = report.position.filter(|&p| p <= self.now);
+        at.into_iter().for_each(|at| self.learn(id, report.position, report.role, at));
     }
 
     /// Reads health and load from the end of an attempt.
@@ -291,31 +279,37 @@
         self.learn(id, position, ended.note.role, now);
         let Some(m) = self.members.get_mut(&id) else { return };
         match outcome {
-            Outcome::Served | Outcome::Misplaced | Outcome::Full | Outcome::Error => {
-                (m.failures, m.stalls, m.last_answer) = (0, 0, now);
+            Outcome::Served | Outcome::Misplaced | Outcome::Error => {
+                (m.failures, m.silent, m.last_answer) = (0, false, now);
+            }
+            // Silence counts only after the time that nearly all answers take, with no later one.
+            Outcome::TimedOut if m.last_answer < attempt.sent => {
+                m.silent |= ended.took as f64 >= self.services[attempt.class].tail();
             }
-            // Silence counts only where nothing else that was sent later has been answered.
-            Outcome::TimedOut if m.last_answer < attempt.sent => m.stalls += 1,
             Outcome::Unreachable | Outcome::Reset => m.failures += 1,
             _ => {}
         }
         let service = &mut self.services[attempt.class];
         let spare = service.spare();
+        let least = (LEAST_OPEN / f64::from(self.settings.routers.max(1))).min(1.0);
         let strain = match outcome {
-            Outcome::Served => (ended.took as f64 - service.base) / spare,
-            Outcome::TimedOut | Outcome::Full => 3.0,
+            Outcome::Served | Outcome::TimedOut => (ended.took as f64 - service.base) / spare,
+            Outcome::Full => 3.0,
             _ => return,
         };
         if outcome == Outcome::Served {
             service.add(ended.took as f64);
         }
-        m.strain += GAIN * (strain.clamp(-1.0, 4.0) - m.strain);
+        let weight = GAIN.max(1.0 - (-(now.saturating_sub(m.told_at) as f64) / SPARSE).exp());
         let used = (m.open.len() + 1) as f64;
-        if m.strain > 1.0 && now > m.cut_at + service.mean as Micros {
-            (m.limit, m.cut_at) = ((m.limit.min(used) * CUT).max(1.0), now);
-        } else if m.strain < 1.0 && used + 1.0 >= m.limit {
-            m.limit += 1.0 / m.limit;
+        m.limit = m.present_limit(now);
+        if strain > 1.0 {
+            m.limit = (m.limit.min(used) * (1.0 - weight * (1.0 - 1.0 / strain))).max(least);
+        } else if used + 1.0 >= m.limit {
+            m.limit += if m.limit < 1.0 { weight * m.limit } else { 1.0 / m.limit };
         }
+        m.limit = if m.silent { m.limit.min(least * SILENT_SHARE) } else { m.limit };
+        m.told_at = now;
     }
 
     fn on_probe(&mut self, id: MemberId, outcome: Outcome, report: &Report, out: &mut Vec<Action>) {
@@ -337,9 +331,9 @@
         let silent = m.open.iter().any(|o| {
             m.last_answer < o.sent && self.now > o.sent + 2 * self.services[o.class].tail() as Micros
         });
-        match m.failures.max(m.stalls) {
+        match m.failures {
             n if n >= DROP_FAILURES => Health::Dropped,
-            0 if !silent => Health::Good,
+            0 if !silent && !m.silent => Health::Good,
             _ => Health::PossiblyDead,
         }
     }
@@ -354,77 +348,77 @@
         self.primary(m.group).is_some_and(|p| p.id == m.id)
     }
 
-    fn replicas(&self, group: GroupId) -> impl Iterator<Item = &Member> {
-        self.members.values().filter(move |m| m.group == group && !self.is_primary(m))
+    fn group_members(&self, group: GroupId) -> impl Iterator<Item = &Member> {
+        let ids = self.groups.get(&group).map_or(&[][..], |g| &g.members);
+        ids.iter().filter_map(|id| self.members.get(id)).filter(move |m| m.group == group)
     }
 
     // ---- Arrival ----
 
     fn on_request(&mut self, request: &Request, out: &mut Vec<Action>) {
-        let Some(class) = self.settings.classes.get(request.class) else {
+        if request.class >= self.settings.classes.len() {
             return out.push(Action::Fail(request.id));
-        };
-        self.services[request.class].asked += if request.repeat { 0.0 } else { class.worth };
+        }
         let told = request.last_write_ago.map(|ago| self.now.saturating_sub(ago));
         let forgotten = self.now.saturating_sub(SESSION_MEMORY);
         let remembered = request.session.and_then(|s| self.sessions.get(&s)).copied();
-        let floor = match (class.consistency, self.settings.session_marks) {
-            (Consistency::Session, SessionMarks::Client) => told.unwrap_or(0),
-            (Consistency::Session, SessionMarks::Router) => remembered.unwrap_or(forgotten),
-            _ => 0,
+        let floor = match self.settings.session_marks {
+            SessionMarks::Client => told.unwrap_or(0),
+            SessionMarks::Router => remembered.unwrap_or(forgotten),
         };
         let (class, group, session, repeat) = (request.class, request.group, request.session, request.repeat);
-        let (arrived, ends) = (self.now, self.now + request.budget);
-        let held = Held { class, group, session, arrived, ends, repeat, floor, ..Held::default() };
+        let (arrived, ends, lot) = (self.now, self.now + request.budget, self.draw(u64::MAX));
+        let held = Held { class, group, session, arrived, ends, repeat, lot, floor, ..Held::default() };
         self.probe_for(&held, out);
         self.held.insert(request.id, held);
-        let group = self.groups.entry(request.group).or_default();
-        group.line.push(request.id);
-        group.asked = self.now;
-        self.pump(request.group, out);
+        self.groups.entry(request.group).or_default().asked = self.now;
+        self.line_up(request.group, request.id, out);
     }
 
-    /// Serves a group's line as far as members have room: first what can still be in time, then by worth
-    /// for its work, then by age.
+    fn line_up(&mut self, group: GroupId, id: RequestId, out: &mut Vec<Action>) {
+        self.groups.entry(group).or_default().line.push(id);
+        self.busy.insert(group);
+        self.pump(group, out);
+    }
+
+    /// Serves a group's line: first what can still be in time, then by worth for its work, then by age.
     fn pump(&mut self, group: GroupId, out: &mut Vec<Action>) {
         let Some(g) = self.groups.get_mut(&group) else { return };
         let mut line = std::mem::take(&mut g.line);
         line.retain(|id| self.held.contains_key(id));
         line.sort_by_cached_key(|id| self.precedence(&self.held[id]));
-        line.retain(|id| match self.choose(&self.held[id]) {
-            Some(member) => {
-                self.send(*id, member, out);
-                false
+        line.retain(|id| {
+            let held = &self.held[id];
+            if held.arrived < self.now && self.is_hopeless(held) {
+                self.give_up(*id, out);
+                return false;
             }
-            None => true,
+            let chosen = self.choose(held);
+            chosen.into_iter().for_each(|member| self.send(*id, member, out));
+            chosen.is_none()
         });
         self.groups.entry(group).or_default().line = line;
     }
 
-    fn pump_all(&mut self, out: &mut Vec<Action>) {
-        let groups: Vec<GroupId> = self.groups.keys().copied().collect();
-        groups.into_iter().for_each(|g| self.pump(g, out));
+    /// Looks after the groups that have requests or had one of late; the rest of the fleet costs nothing.
+    fn pump_busy(&mut self, out: &mut Vec<Action>) {
+        let busy = |g: &Group| !g.line.is_empty() || self.now < g.asked + PROBE_PERIOD;
+        self.busy.retain(|id| self.groups.get(id).is_some_and(busy));
+        for id in self.busy.iter().copied().collect::<Vec<_>>() {
+            self.probe_due(id, out);
+            self.pump(id, out);
+        }
     }
 
     fn precedence(&self, held: &Held) -> (bool, i64, Micros) {
         let class = &self.settings.classes[held.class];
         let service = &self.services[held.class];
-        let gain = class.worth * self.need(held.class) / service.base;
+        let gain = class.worth / service.base;
         let due = held.arrived + service.patience as Micros;
         let late = self.now + service.mean as Micros > due || self.is_spent(held);
         (late, -(gain * 1e9) as i64, held.arrived)
     }
 
-    /// What the goal adds to a class's worth: the class served worst counts once more, in its own measure.
-    fn need(&self, class: usize) -> f64 {
-        let share = |s: &Service| s.served / s.asked.max(1.0);
-        let (goal, service) = (self.settings.goal, &self.services[class]);
-        let worst = self.services.iter().all(|s| share(service) <= share(s));
-        let all: f64 = self.services.iter().map(|s| s.asked).sum();
-        let extra = goal.worst_class / goal.whole.max(0.01) * all / service.asked.max(1.0);
-        1.0 + extra * f64::from(worst)
-    }
-
     /// A client's repeat has mostly used up the aim of its first try: often it earns nothing any more.
     fn is_spent(&self, held: &Held) -> bool {
         held.repeat && self.settings.classes[held.class].late_worth == 0.0
@@ -437,15 +431,16 @@
         let consistency = self.settings.classes[held.class].consistency;
         let primary = self.primary(held.group).filter(|p| self.may_send(held, p));
         if matches!(consistency, Consistency::Write | Consistency::Fresh) {
-            return primary.filter(|p| self.has_room(held, p) || self.is_test(p)).map(|p| p.id);
+            return primary.filter(|p| self.has_room(held, p)).map(|p| p.id);
         }
-        let heard = self.groups.get(&held.group).is_some_and(|g| g.heard);
-        if !heard && self.now < self.started + FRESH_HOLD {
+        let told = self.groups.get(&held.group).is_some_and(|g| g.primary.is_some_and(|(_, seen)| seen > 0));
+        if !told && self.now < self.started + FRESH_HOLD {
             return None;
         }
-        let untried = self.replicas(held.group).filter(|m| !held.tried.contains(&m.id));
+        let replicas = self.group_members(held.group).filter(|m| !self.is_primary(m));
+        let untried = replicas.filter(|m| !held.tried.contains(&m.id));
         let eligible: Vec<&Member> = untried.filter(|m| self.may_send(held, m)).collect();
-        if let Some(suspect) = eligible.iter().find(|m| self.is_test(m)) {
+        if let Some(suspect) = eligible.iter().find(|m| m.silent && self.has_room(held, m)) {
             return Some(suspect.id);
         }
         let good = |m: &&&Member| self.health(m) == Health::Good;
@@ -457,35 +452,28 @@
     }
 
     /// Own zone first, then rotation; one at its limit passes its turn. Any reads that take longer than the
-    /// tightest bound may hold up for as long what a replica applies: they gather where the lag is longest
-    /// already, so that the others stay fresh. May hurt where such reads are most of the traffic.
+    /// tightest bound may hold up what a replica applies: they gather where it lags most already.
     fn next_turn<'m>(&self, held: &Held, among: impl Iterator<Item = &'m &'m Member>) -> Option<MemberId> {
         let any = self.settings.classes[held.class].consistency == Consistency::Any;
         let long = any && self.services[held.class].base > self.tightest_bound() as f64;
         let lag = |m: &Member| if long { m.heard.saturating_sub(m.position) } else { 0 };
         let open = among.filter(|m| self.has_room(held, m));
-        open.min_by_key(|m| (u64::MAX - lag(m), m.zone != self.settings.zone, m.last_turn)).map(|m| m.id)
+        let turn = |m: &&&Member| (m.zone != self.settings.zone, m.last_sent, m.open.len());
+        open.min_by_key(|m| (u64::MAX - lag(m), turn(m))).map(|m| m.id)
     }
 
     /// Whether a member's limit leaves room: reads take a part of a primary's, spent repeats of any.
     fn has_room(&self, held: &Held, m: &Member) -> bool {
-        let write = self.settings.classes[held.class].consistency == Consistency::Write;
-        let share = if !write && self.is_primary(m) { READ_SHARE } else { 1.0 };
+        let share = if !self.is_write(held) && self.is_primary(m) { READ_SHARE } else { 1.0 };
         let share = if self.is_spent(held) { share * SPENT_SHARE } else { share };
+        let limit = m.present_limit(self.now) * share * self.warmth(m);
         match self.health(m) {
-            Health::Good => (m.open.len() as f64) < (m.limit * share * self.warmth(m)).max(1.0),
-            Health::PossiblyDead => m.open.is_empty(),
             Health::Dropped => false,
+            Health::Good if limit >= 1.0 => (m.open.len() as f64) < limit,
+            _ => m.open.is_empty() && self.lot(held, m) < limit,
         }
     }
 
-    /// Whether a request may now test this member, which passes probes but answers no work. Each test that
-    /// fails doubles the pause: many routers that test often would feed a dead member much of the load.
-    fn is_test(&self, m: &Member) -> bool {
-        let pause = RETEST << m.stalls.min(RETEST_DOUBLINGS);
-        m.stalls > 0 && m.failures == 0 && m.open.is_empty() && self.now > m.last_sent + pause
-    }
-
     /// Whether a member's known position is enough for this read.
     fn is_fresh(&self, held: &Held, m: &Member) -> bool {
         match self.settings.classes[held.class].consistency {
@@ -502,7 +490,7 @@
     fn may_send(&self, held: &Held, m: &Member) -> bool {
         let in_time = self.now < held.ends && held.tried.len() < self.settings.limits.max_attempts as usize;
         let fresh = self.is_primary(m) || self.is_fresh(held, m);
-        let placed = !m.barred && m.group == held.group && self.cold_room(m, held.class);
+        let placed = !m.barred && m.group == held.group && self.cold_room(held, m);
         placed && fresh && !held.out && in_time && self.may_repeat(held, Some(m))
     }
 
@@ -527,17 +515,29 @@
         rules.cold_share + (1.0 - rules.cold_share) * grown
     }
 
-    /// Rule 4: what a cold member gets within the window stays a part of what this router sends a warm
-    /// one in that time; what all routers send a warm one is under its capacity, so the sum keeps the budget.
-    fn cold_room(&self, m: &Member, class: usize) -> bool {
-        let (warmth, work) = (self.warmth(m), self.services[class].base);
-        if warmth >= 1.0 || m.load < work / 2.0 {
-            return true;
-        }
-        let warm = self.members.values().filter(|o| !o.barred && self.warmth(o) >= 1.0);
-        let (count, sum) = warm.fold((0.0, 0.0), |(count, sum), o| (count + 1.0, sum + o.load));
-        let share = warmth * self.settings.rules.fall_multiple * COLD_MARGIN;
-        m.load + work <= sum / f64::max(count, 1.0) * share
+    /// Rule 4: each router leaves a cold member by lot a part of one member's worth of its own reads, or of its
+    /// writes: the sum keeps the budget however many routers there are. Within the window it also stays a part
+    /// of what this router sends a warm one: a router of much traffic is not to spend the budget in a burst.
+    fn cold_room(&self, held: &Held, m: &Member) -> bool {
+        let share = self.warmth(m) * self.settings.rules.fall_multiple * COLD_MARGIN;
+        let others = || self.group_members(m.group).filter(|o| !o.barred);
+        let heirs = if self.is_write(held) { 1 } else { others().count().max(1) };
+        let work = self.services[held.class].base;
+        let load = |m| load_left(m, self.now, self.settings.rules.fall_window);
+        let warm = others().filter(|o| self.warmth(o) >= 1.0);
+        let (count, sum) = warm.fold((0.0, 0.0), |(count, sum), o| (count + 1.0, sum + load(o)));
+        let in_window = load(m) < work / 2.0 || load(m) + work <= sum / f64::max(count, 1.0) * share;
+        self.warmth(m) >= 1.0 || in_window && self.lot(held, m) < share / heirs as f64
+    }
+
+    fn is_write(&self, held: &Held) -> bool {
+        self.settings.classes[held.class].consistency == Consistency::Write
+    }
+
+    /// A number from 0 to 1 for this request at this member, the same whenever it is asked for.
+    fn lot(&self, held: &Held, m: &Member) -> f64 {
+        let mixed = (held.lot ^ u64::from(m.id.0)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        (mixed >> 11) as f64 / (1u64 << 53) as f64
     }
 
     /// Rule 2: a refusal promises that trying again is harmless.
@@ -561,21 +561,21 @@
         let left = (held.arrived + service.patience as Micros).saturating_sub(now);
         let timeout = match left.saturating_sub(tail) {
             spare if class.effect != Effect::Safe || spare <= tail => 0,
-            _ if m.stalls > 0 => tail,
+            _ if m.silent => tail,
             spare => spare,
         };
         (held.sent, held.out) = (now, true);
         held.tried.push(to);
         m.open.push(Open { request: id, sent: now, class: held.class });
-        m.load += service.base;
-        self.turn += 1;
-        (m.last_turn, m.last_sent) = (self.turn, now);
+        m.load = load_left(m, now, self.settings.rules.fall_window) + service.base;
+        m.last_sent = now;
         out.push(Action::Send { request: id, member: to, timeout });
     }
 
     // ---- Outcome ----
 
     fn on_outcome(&mut self, ended: &Ended, out: &mut Vec<Action>) {
+        self.on_answer(ended);
         let id = ended.request;
         let Some(held) = self.held.get_mut(&id) else { return };
         let write = self.settings.classes[held.class].consistency == Consistency::Write;
@@ -585,30 +585,24 @@
             held.risk = Some((held.sent, ended.member));
         }
         if ended.finished {
-            let service = &mut self.services[held.class];
-            let age = (self.now - held.arrived) as f64;
-            let in_time = ended.outcome == Outcome::Served && age <= service.aim && !held.repeat;
-            service.served += if in_time { self.settings.classes[held.class].worth } else { 0.0 };
             if let (true, Some(session), Some(commit)) = (write, held.session, ended.note.position) {
-                let seen = self.sessions.entry(session).or_insert(0);
-                *seen = (*seen).max(commit);
+                self.sessions.entry(session).and_modify(|seen| *seen = commit.max(*seen)).or_insert(commit);
             }
             self.held.remove(&id);
         } else if self.held.get(&id).is_none_or(|held| self.is_hopeless(held)) {
             self.give_up(id, out);
         } else {
-            self.groups.entry(group).or_default().line.push(id);
+            return self.line_up(group, id, out);
         }
         self.pump(group, out);
     }
 
     // ---- Giving up ----
 
-    /// Clients that hang up before the time they named show how long they really wait, whatever makes them
-    /// leave: what takes longer is lost on them. A few that leave at random move little.
+    /// Clients that hang up before the time they named show how long they really wait: longer is lost on them.
     fn on_hang_up(&mut self, id: RequestId) {
         let Some(held) = self.held.remove(&id) else { return };
-        let early = self.now + self.tick() < held.ends;
+        let early = self.now + self.tick < held.ends;
         let (service, age) = (&mut self.services[held.class], (self.now - held.arrived) as f64);
         if early && age < service.patience {
             service.patience += GAIN * (age - service.patience);
@@ -618,11 +612,11 @@
     /// Whether another attempt is not allowed, or would hardly end in time to earn anything.
     fn is_hopeless(&self, held: &Held) -> bool {
         let (class, service) = (&self.settings.classes[held.class], &self.services[held.class]);
-        let end = held.ends.saturating_sub(2 * self.tick());
+        let end = held.ends.saturating_sub(2 * self.tick);
         let patient = class.late_worth > 0.0 && service.patience >= service.aim;
         let useful = if patient { held.ends } else { held.arrived + service.patience as Micros };
-        let spent = held.tried.len() >= self.settings.limits.max_attempts as usize;
         let end = end.min(useful.saturating_sub(service.mean as Micros));
+        let spent = held.tried.len() >= self.settings.limits.max_attempts as usize;
         spent || !self.may_repeat(held, None) || self.now >= end
     }
 
@@ -638,25 +632,18 @@
     // ---- What is due ----
 
     fn on_tick(&mut self, out: &mut Vec<Action>) {
-        let tick = self.tick();
+        let tick = self.tick;
         out.push(Action::SetTimer(tick));
         if self.resubscribe_at.is_some_and(|at| at <= self.now) {
             self.resubscribe_at = Some(self.now + self.settings.rules.ask_within / 4);
             out.push(Action::Subscribe);
         }
-        let waiting = self.held.iter().filter(|(_, h)| !h.out && self.is_hopeless(h));
-        let lapsed: Vec<RequestId> = waiting.map(|(id, _)| *id).collect();
-        lapsed.into_iter().for_each(|id| self.give_up(id, out));
-        self.probe_due(out);
-        self.sessions.retain(|_, commit| *commit + SESSION_MEMORY > self.now);
-        let kept = 1.0 - (tick as f64 / self.settings.rules.fall_window.max(tick) as f64);
-        self.members.values_mut().for_each(|m| m.load *= kept);
-        let fade = tick as f64 / MEMORY;
-        for s in &mut self.services {
-            s.base += fade * (s.mean - s.base);
-            (s.asked, s.served) = (s.asked * (1.0 - fade), s.served * (1.0 - fade));
+        if self.now % PROBE_PERIOD < tick {
+            self.sessions.retain(|_, commit| *commit + SESSION_MEMORY > self.now);
         }
-        self.pump_all(out);
+        let fade = tick as f64 / MEMORY;
+        self.services.iter_mut().for_each(|s| s.base += fade * (s.mean - s.base));
+        self.pump_busy(out);
     }
 
     fn tightest_bound(&self) -> Micros {
@@ -668,7 +655,7 @@
     /// are fresh. A record in use is renewed by its answers: probing by the clock would only cost more.
     fn probe_for(&mut self, held: &Held, out: &mut Vec<Action>) {
         let Consistency::Bounded(bound) = self.settings.classes[held.class].consistency else { return };
-        let replicas = self.replicas(held.group);
+        let replicas = self.group_members(held.group).filter(|m| !self.is_primary(m));
         let (fresh, stale): (Vec<&Member>, Vec<&Member>) = replicas.partition(|m| self.is_fresh(held, m));
         let near = |m: &&Member| m.zone == self.settings.zone;
         let due = stale.iter().filter(|m| fresh.is_empty() || (near(m) && !fresh.iter().any(near)));
@@ -678,22 +665,20 @@
         self.probe_all(due, out);
     }
 
-    /// Members in trouble, and those of a group without a primary, are probed while requests name the group.
-    /// A primary in trouble that still speaks as primary has no successor yet; one that is long silent may
-    /// never get one, and many routers that look for it would be a load of their own.
-    fn probe_due(&mut self, out: &mut Vec<Action>) {
-        let pause = |m: &Member| {
-            let group = self.groups.get(&m.group).filter(|g| self.now < g.asked + PROBE_PERIOD)?;
-            let silent = self.now.saturating_sub(group.primary.map_or(self.now, |(_, seen)| seen));
-            match self.primary(m.group).map(|p| self.health(p)) {
-                None => Some(SEARCH_PERIOD),
-                Some(Health::Good) if self.health(m) == Health::Good => None,
-                Some(Health::Good) => Some(PROBE_PERIOD),
-                Some(_) if silent < PROBE_PERIOD => Some(PROBE_PERIOD),
-                Some(_) => Some((silent / SEARCH_SPREAD).clamp(SEARCH_PERIOD, PROBE_PERIOD)),
-            }
+    /// Members in trouble, and those of a group without a primary, are probed while requests name the group:
+    /// the less, the longer a primary in trouble is silent, as it may never get a successor.
+    fn probe_due(&mut self, id: GroupId, out: &mut Vec<Action>) {
+        let seen = self.groups.get(&id).and_then(|g| g.primary);
+        let silent = self.now.saturating_sub(seen.map_or(self.now, |(_, seen)| seen));
+        let primary = self.primary(id).map(|p| self.health(p));
+        let pause = |m: &Member| match primary {
+            None => Some(SEARCH_PERIOD),
+            Some(Health::Good) if self.health(m) == Health::Good => None,
+            Some(Health::Good) => Some(PROBE_PERIOD),
+            Some(_) if silent < PROBE_PERIOD => Some(PROBE_PERIOD),
+            Some(_) => Some((silent / SEARCH_SPREAD).clamp(SEARCH_PERIOD, PROBE_PERIOD)),
         };
-        let due = self.members.values().filter_map(|m| Some((m.id, pause(m)?))).collect();
+        let due = self.group_members(id).filter_map(|m| Some((m.id, pause(m)?))).collect();
         self.probe_all(due, out);
     }
 
@@ -717,6 +702,23 @@
     }
 }
 
+/// What is left of the work sent to a member, forgotten over this time.
+fn load_left(m: &Member, now: Micros, over: Micros) -> f64 {
+    m.load * (-(now.saturating_sub(m.last_sent) as f64) / over.max(1) as f64).exp()
+}
+
+impl Member {
+    /// A limit under one is the share of requests that may come here; without news it doubles now and then.
+    fn present_limit(&self, now: Micros) -> f64 {
+        let age = now.saturating_sub(self.told_at) as f64;
+        if self.limit < 1.0 {
+            (self.limit * (age / RECOVERY).exp2()).min(1.0)
+        } else {
+            self.limit
+        }
+    }
+}
+
 impl Service {
     /// Until answers come, a class is taken to need a quarter of its aim.
     fn new(aim: f64) -> Self {
--- a/tests/rules_kept.rs
+++ b/tests/rules_kept.rs
@@ -126,6 +126,40 @@
     assert!(counts[2] > 0 && 4 * counts[2] < counts[3], "{counts:?}");
 }
 
+/// Each router's first send alone would be more than a cold member can do where there are very many.
+#[test]
+fn a_fleet_that_asks_at_once_leaves_a_cold_member_its_part() {
+    let (mut to_cold, fleet) = (0, 300);
+    for seed in 1..=fleet {
+        let cold = Entry { started: Some(START), ..entry(2, 0, false) };
+        let list = [entry(1, 0, true), cold, entry(3, 1, false)];
+        let (mut stage, _) = Stage::seeded(seed * 7919, settings(), &list);
+        stage.now += 5 * MS;
+        list.iter().for_each(|e| {
+            stage.probed(e.member.0, START, e.primary);
+        });
+        let (id, actions) = stage.ask(ANY);
+        to_cold += i32::from(sent(&actions, id) == Some(2));
+    }
+    // A third of the requests would be its turn; it can do a fifth of a warm one's work, and may get twice that.
+    assert!(to_cold > 0 && to_cold < fleet as i32 * 2 / 5 / 3, "{to_cold}");
+}
+
+#[test]
+fn a_request_whose_group_went_quiet_meanwhile_is_answered() {
+    let mut stage = Stage::new();
+    let (id, actions) = stage.ask_with(WRITE, 3_000 * MS, |_| {});
+    let member = sent(&actions, id).unwrap();
+    stage.pass(2_000 * MS);
+    let drained: Vec<Entry> =
+        entries().into_iter().map(|e| Entry { listed: Listed::Draining, ..e }).collect();
+    stage.list(ListKind::Delta, &drained);
+    let mut actions = stage.ended(id, member, Outcome::Full, Note::default());
+    assert_eq!(sent(&actions, id), None);
+    actions.extend(stage.pass(1_500 * MS));
+    assert!(refused(&actions, id));
+}
+
 #[test]
 fn a_former_primary_is_no_longer_excused() {
     let mut stage = Stage::new();
