--- a/src/rules.rs
+++ b/src/rules.rs
@@ -125,7 +125,6 @@
 }
 
 /// Observed service times of a class, in microseconds.
-#[derive(Default)]
 struct Service {
     mean: f64,
     deviation: f64,
@@ -723,7 +722,7 @@
     /// Until answers come, a class is taken to need a quarter of its aim.
     fn new(aim: f64) -> Self {
         let mean = aim / 4.0;
-        Service { mean, deviation: mean / 2.0, base: mean, aim, patience: aim, ..Service::default() }
+        Service { mean, deviation: mean / 2.0, base: mean, aim, patience: aim }
     }
 
     fn add(&mut self, took: f64) {
