Members that check their lag are asked on outdated records; reads there stop costing probes

Cause: with 57 to 230 routers a router hears from a member less often than a bound is long, so nearly every bounded read found no fresh record and had to be probed for, or went to the primary. Where the member itself turns a read away untouched when it lags, an outdated record is no reason against it; one last heard to lag past the bound is left out until it is probed within it. Acts only where the settings say that members check. May hurt where replicas lag often: a turned-away read loses the hold.

--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -23,6 +23,8 @@
 struct Extra {
     consistency: Vec<String>,
     #[serde(default)]
+    guards: Option<String>,
+    #[serde(default)]
     session_marks: Option<String>,
     #[serde(default)]
     staleness_bound_us: Vec<u64>,
@@ -127,6 +129,11 @@
             Some("client") | None => api::SessionMarks::Client,
             Some(other) => return Err(unknown("extra.sessionMarks", other)),
         },
+        lag_check: match facts.extra.guards.as_deref() {
+            Some("reject" | "hold") => api::LagCheck::Member,
+            Some("silent") | None => api::LagCheck::Router,
+            Some(other) => return Err(unknown("extra.guards", other)),
+        },
         limits: api::Limits {
             max_attempts: facts.limits.max_attempts,
             max_retry_after: facts.limits.max_retry_after_us,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -105,6 +105,15 @@
     Router,
 }
 
+/// Who sees to it that a member does not answer a read from data that is too old for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LagCheck {
+    /// The router alone, by what it knows of positions.
+    Router,
+    /// The member too: it turns such a read away untouched.
+    Member,
+}
+
 /// What the site permits.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -150,6 +159,8 @@
     pub discovery: Discovery,
     /// Who knows what a session has written.
     pub session_marks: SessionMarks,
+    /// Who checks a member's lag.
+    pub lag_check: LagCheck,
     /// What the site permits.
     pub limits: Limits,
     /// The figures of the rules.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -248,8 +248,7 @@
         if let Some(p) = position.filter(|&p| p >= m.position && p <= self.now) {
             (m.position, m.heard) = (p, self.now);
         }
-        let (held_by, seen) = group.primary.map_or((None, 0), |(p, seen)| (Some(p), seen));
-        let believed = held_by == Some(id);
+        let (believed, seen) = group.primary.map_or((false, 0), |(p, seen)| (p == id, seen));
         if role == Some(Role::Primary) && at > m.denied && (believed || at > seen) {
             group.primary = Some((id, at.max(seen)));
         } else if role == Some(Role::Replica) && (!believed || at >= seen) {
@@ -456,9 +455,8 @@
         let any = self.settings.classes[held.class].consistency == Consistency::Any;
         let long = any && self.services[held.class].base > self.tightest_bound() as f64;
         let lag = |m: &Member| if long { m.heard.saturating_sub(m.position) } else { 0 };
-        let open = among.filter(|m| self.has_room(held, m));
-        let turn = |m: &&&Member| (m.zone != self.settings.zone, m.last_sent, m.open.len());
-        open.min_by_key(|m| (u64::MAX - lag(m), turn(m))).map(|m| m.id)
+        let turn = |m: &Member| (u64::MAX - lag(m), m.zone != self.settings.zone, m.last_sent, m.open.len());
+        among.filter(|m| self.has_room(held, m)).min_by_key(|m| turn(m)).map(|m| m.id)
     }
 
     /// Whether a member's limit leaves room: reads take a part of a primary's, spent repeats of any.
@@ -476,6 +474,10 @@
     /// Whether a member's known position is enough for this read.
     fn is_fresh(&self, held: &Held, m: &Member) -> bool {
         match self.settings.classes[held.class].consistency {
+            // Members that check for themselves are asked on an outdated record too, unless it was of a lag.
+            Consistency::Bounded(bound) if self.settings.lag_check == LagCheck::Member && m.heard > 0 => {
+                m.heard <= m.position.saturating_add(bound)
+            }
             Consistency::Bounded(bound) => self.now <= m.position.saturating_add(bound),
             Consistency::Session => m.position >= held.floor,
             Consistency::Any => true,
@@ -514,9 +516,9 @@
         rules.cold_share + (1.0 - rules.cold_share) * grown
     }
 
-    /// Rule 4: each router leaves a cold member by lot a part of one member's worth of its own reads, or of its
-    /// writes: the sum keeps the budget however many routers there are. Within the window it also stays a part
-    /// of what this router sends a warm one: a router of much traffic is not to spend the budget in a burst.
+    /// Rule 4: by lot a cold member gets a part of one member's worth of each router's own reads, or of its
+    /// writes: the sum keeps the budget however many routers there are. Within the window it also stays a
+    /// part of what this router sends a warm one: one of much traffic is not to spend it in a burst.
     fn cold_room(&self, held: &Held, m: &Member) -> bool {
         let share = self.warmth(m) * self.settings.rules.fall_multiple * COLD_MARGIN;
         let others = || self.group_members(m.group).filter(|o| !o.barred);
@@ -541,11 +543,9 @@
 
     /// Rule 2: a refusal promises that trying again is harmless.
     fn may_refuse(&self, held: &Held) -> bool {
-        match self.settings.classes[held.class].effect {
-            _ if held.risk.is_none() && !held.out => true,
-            Effect::Safe | Effect::Keyed(DedupScope::All, _) => true,
-            Effect::Keyed(..) | Effect::Unsafe => false,
-        }
+        let effect = self.settings.classes[held.class].effect;
+        let harmless = matches!(effect, Effect::Safe | Effect::Keyed(DedupScope::All, _));
+        harmless || held.risk.is_none() && !held.out
     }
 
     // ---- Sending ----
@@ -598,7 +598,7 @@
 
     // ---- Giving up ----
 
-    /// Clients that hang up before the time they named show how long they really wait: longer is lost on them.
+    /// Clients that hang up before the time they named show how long they wait: longer is lost on them.
     fn on_hang_up(&mut self, id: RequestId) {
         let Some(held) = self.held.remove(&id) else { return };
         let early = self.now + self.tick < held.ends;
@@ -623,8 +623,8 @@
         let Some(held) = self.held.get(&id) else { return };
         let (class, limits) = (&self.settings.classes[held.class], &self.settings.limits);
         let retry_after = if limits.retry_after { limits.max_retry_after.min(class.aim / 2) } else { 0 };
-        let refusal = Action::Refuse { request: id, retry_after };
-        out.push(if self.may_refuse(held) { refusal } else { Action::Fail(id) });
+        let may = self.may_refuse(held);
+        out.push(if may { Action::Refuse { request: id, retry_after } } else { Action::Fail(id) });
         self.held.remove(&id);
     }
 
@@ -657,7 +657,7 @@
         let replicas = self.group_members(held.group).filter(|m| !self.is_primary(m));
         let (fresh, stale): (Vec<&Member>, Vec<&Member>) = replicas.partition(|m| self.is_fresh(held, m));
         let near = |m: &&Member| m.zone == self.settings.zone;
-        let due = stale.iter().filter(|m| fresh.is_empty() || (near(m) && !fresh.iter().any(near)));
+        let due = stale.iter().filter(|m| fresh.is_empty() || near(m) && !fresh.iter().any(near));
         // One that lags far needs time to catch up: it is asked less often.
         let pause = |m: &Member| (bound / 2).max(self.now.saturating_sub(m.position) / 4).min(PROBE_PERIOD);
         let due = due.map(|m| (m.id, pause(m))).collect();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -34,6 +34,7 @@
         ],
         discovery: Discovery::Pushed,
         session_marks: SessionMarks::Client,
+        lag_check: LagCheck::Router,
         limits: Limits { max_attempts: 8, max_retry_after: 1_000 * MS, retry_after: true, probes: true },
         rules: RuleFigures {
             ask_within: 10_000 * MS,
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -137,3 +137,18 @@
     let (id, actions) = stage.ask(ANY);
     assert_eq!(sent(&actions, id), None, "all are dropped");
 }
+
+/// Where members check their lag themselves, a record that ran out says nothing against its member.
+#[test]
+fn a_member_that_checks_its_lag_is_asked_on_an_outdated_record_unless_it_lagged() {
+    let list = [entry(1, 0, true), entry(2, 0, false)];
+    let mut stage = Stage::with(Settings { lag_check: LagCheck::Member, ..settings() }, &list);
+    stage.pass(2_000 * MS);
+    let (id, actions) = stage.ask(READ);
+    assert_eq!((sent(&actions, id), probes(&actions, 2)), (Some(2), 0));
+    let note = Note { position: Some(stage.now - 2 * BOUND), role: Some(Role::Replica) };
+    let actions = stage.ended(id, 2, Outcome::Misplaced, note);
+    assert_eq!(sent(&actions, id), Some(1));
+    let (id, actions) = stage.ask(READ);
+    assert_eq!((sent(&actions, id), probes(&actions, 2)), (Some(1), 1));
+}
