No connection is held idle while some are refused; search only while a request waits

Evidence: the members answered probes all the while and served whoever got through, so nothing was wrong with them; what was short was connections, which routers held without using them. Changes: while over a fiftieth of this router's attempts get no connection, it closes a member's connections once they carry nothing, and a refused connect counts as a failure only where the last probe failed too; only a member whose probes failed counts as restarted; probes of failed members become rarer; a group's primary is sought ten times a second only while a request waits. Guards against any shortage of connections, whoever holds them; costs a handshake a request while it lasts, also for some seconds after a crash.

--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -29,6 +29,7 @@
     pub const LOSE: u8 = 67;
     pub const SCHEDULE: u8 = 69;
     pub const TEST: u8 = 70;
+    pub const DROP_CONNS: u8 = 71;
     pub const PRINT: u8 = 73;
     pub const DIE: u8 = 74;
     pub const FOLLOW: u8 = 75;
@@ -280,6 +281,9 @@
             reply.record(code::BUSY, &[&driver_bytes, &request.0.to_le_bytes(), &micros(*retry_after)]);
         }
         Action::Fail(request) => reply.record(code::LOSE, &[&driver_bytes, &request.0.to_le_bytes()]),
+        Action::CloseIdle(member) => {
+            reply.record(code::DROP_CONNS, &[&driver_bytes, &member.0.to_le_bytes()]);
+        }
         Action::Probe(member) => reply.record(code::TEST, &[&driver_bytes, &member.0.to_le_bytes()]),
         Action::SetTimer(after) => {
             reply.record(code::SCHEDULE, &[&driver_bytes, &micros(*after), &0u32.to_le_bytes()]);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -352,6 +352,8 @@
     },
     /// Final answer: failed; nothing is promised.
     Fail(RequestId),
+    /// Close this router's connections to a member that carry nothing.
+    CloseIdle(MemberId),
     /// Probe a member.
     Probe(MemberId),
     /// Wake the router after this time.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,8 +11,6 @@
 const PROBE_PERIOD: Micros = 1_000_000;
 /// Pause between probes of one member while its group's primary is sought, in microseconds.
 const SEARCH_PERIOD: Micros = 100_000;
-/// That pause is at least this part of the time for which the primary has been silent.
-const SEARCH_SPREAD: u64 = 16;
 /// A fresh router holds reads at the most this long for the first word of a primary, in microseconds.
 const FRESH_HOLD: Micros = 150_000;
 /// Consecutive failures after which a member is dropped (the design's default).
@@ -31,6 +29,8 @@
 const GAIN: f64 = 0.1;
 /// Answers this far apart each count fully for how strained a member is, in microseconds.
 const SPARSE: f64 = 1e6;
+/// With this share of attempts refused a connection, members have few: none is then held idle.
+const SCARCE: f64 = 0.02;
 /// Open attempts that all routers together may have at a member whatever it answers.
 const LEAST_OPEN: f64 = 3.0;
 /// Share of these for a member that does not answer: a test now and then, by each router's own traffic.
@@ -75,6 +75,8 @@
     denied: Micros,
     /// The list's word on its role.
     listed_primary: bool,
+    /// The last probe had no answer.
+    dark: bool,
     /// Consecutive failures of probes and connections; any answer clears them.
     failures: u32,
     /// An attempt had no answer in time, nor has any since; only real work done clears this.
@@ -148,6 +150,8 @@
     services: Vec<Service>,
     /// Commits that sessions must see, where the router remembers them.
     sessions: BTreeMap<SessionId, Micros>,
+    /// Share of attempts of late that got no connection.
+    refused: f64,
     /// Groups that were asked of late or have a line.
     busy: BTreeSet<GroupId>,
     resubscribe_at: Option<Micros>,
@@ -167,6 +171,7 @@
             groups: BTreeMap::new(),
             held: BTreeMap::new(),
             sessions: BTreeMap::new(),
+            refused: 0.0,
             busy: BTreeSet::new(),
             resubscribe_at: None,
         }
@@ -264,7 +269,7 @@
     }
 
     /// Reads health and load from the end of an attempt.
-    fn on_answer(&mut self, ended: &Ended) {
+    fn on_answer(&mut self, ended: &Ended, out: &mut Vec<Action>) {
         let (id, outcome) = (ended.member, ended.outcome);
         self.learn_report(id, &ended.report);
         let now = self.now;
@@ -284,20 +289,21 @@
             Outcome::TimedOut if m.last_answer < attempt.sent => {
                 m.silent |= ended.took as f64 >= self.services[attempt.class].tail();
             }
+            Outcome::Unreachable if self.refused > SCARCE && !m.dark => {}
             Outcome::Unreachable | Outcome::Reset => m.failures += 1,
             _ => {}
         }
+        self.refused += GAIN * (f64::from(outcome == Outcome::Unreachable) - self.refused);
+        // Members that accept few connections are not to have them taken up by idle ones of a whole fleet.
+        out.extend((m.open.is_empty() && self.refused > SCARCE).then_some(Action::CloseIdle(id)));
         let service = &mut self.services[attempt.class];
-        let spare = service.spare();
         let least = (LEAST_OPEN / f64::from(self.settings.routers.max(1))).min(1.0);
         let strain = match outcome {
-            Outcome::Served | Outcome::TimedOut => (ended.took as f64 - service.base) / spare,
+            Outcome::Served | Outcome::TimedOut => (ended.took as f64 - service.base) / service.spare(),
             Outcome::Full => 3.0,
             _ => return,
         };
-        if outcome == Outcome::Served {
-            service.add(ended.took as f64);
-        }
+        (outcome == Outcome::Served).then(|| service.add(ended.took as f64));
         let weight = GAIN.max(1.0 - (-(now.saturating_sub(m.told_at) as f64) / SPARSE).exp());
         let used = (m.open.len() + 1) as f64;
         m.limit = m.present_limit(now);
@@ -316,11 +322,11 @@
         m.probe_out = false;
         if outcome == Outcome::Served {
             // It may have restarted unseen while it was dropped: cold until proven warm.
-            let restarted = Some(self.now).filter(|_| m.failures >= DROP_FAILURES);
-            (m.started, m.failures) = (m.started.max(restarted), 0);
+            let restarted = Some(self.now).filter(|_| m.dark && m.failures >= DROP_FAILURES);
+            (m.started, m.failures, m.dark) = (m.started.max(restarted), 0, false);
             self.learn_report(id, report);
         } else {
-            m.failures += 1;
+            (m.failures, m.dark) = (m.failures + 1, true);
         }
         self.pump(group, out);
     }
@@ -574,7 +580,7 @@
     // ---- Outcome ----
 
     fn on_outcome(&mut self, ended: &Ended, out: &mut Vec<Action>) {
-        self.on_answer(ended);
+        self.on_answer(ended, out);
         let id = ended.request;
         let Some(held) = self.held.get_mut(&id) else { return };
         let write = self.settings.classes[held.class].consistency == Consistency::Write;
@@ -631,16 +637,15 @@
     // ---- What is due ----
 
     fn on_tick(&mut self, out: &mut Vec<Action>) {
-        let tick = self.tick;
-        out.push(Action::SetTimer(tick));
+        out.push(Action::SetTimer(self.tick));
         if self.resubscribe_at.is_some_and(|at| at <= self.now) {
             self.resubscribe_at = Some(self.now + self.settings.rules.ask_within / 4);
             out.push(Action::Subscribe);
         }
-        if self.now % PROBE_PERIOD < tick {
+        if self.now % PROBE_PERIOD < self.tick {
             self.sessions.retain(|_, commit| *commit + SESSION_MEMORY > self.now);
         }
-        let fade = tick as f64 / MEMORY;
+        let fade = self.tick as f64 / MEMORY;
         self.services.iter_mut().for_each(|s| s.base += fade * (s.mean - s.base));
         self.pump_busy(out);
     }
@@ -664,20 +669,16 @@
         self.probe_all(due, out);
     }
 
-    /// Members in trouble, and those of a group without a primary, are probed while requests name the group:
-    /// the less, the longer a primary in trouble is silent, as it may never get a successor.
+    /// Members in trouble are probed while requests name the group, the rarer the longer it lasts; all of a
+    /// group without a primary, or with one long silent, and often while a request waits for it.
     fn probe_due(&mut self, id: GroupId, out: &mut Vec<Action>) {
-        let seen = self.groups.get(&id).and_then(|g| g.primary);
-        let silent = self.now.saturating_sub(seen.map_or(self.now, |(_, seen)| seen));
-        let primary = self.primary(id).map(|p| self.health(p));
-        let pause = |m: &Member| match primary {
-            None => Some(SEARCH_PERIOD),
-            Some(Health::Good) if self.health(m) == Health::Good => None,
-            Some(Health::Good) => Some(PROBE_PERIOD),
-            Some(_) if silent < PROBE_PERIOD => Some(PROBE_PERIOD),
-            Some(_) => Some((silent / SEARCH_SPREAD).clamp(SEARCH_PERIOD, PROBE_PERIOD)),
-        };
-        let due = self.group_members(id).filter_map(|m| Some((m.id, pause(m)?))).collect();
+        let Some(group) = self.groups.get(&id) else { return };
+        let silent = group.primary.is_some_and(|(_, seen)| self.now > seen + PROBE_PERIOD);
+        let lost = self.primary(id).is_none_or(|p| silent && self.health(p) != Health::Good);
+        let search = lost && !group.line.is_empty();
+        let rare = |m: &Member| PROBE_PERIOD << m.failures.min(DROP_FAILURES);
+        let due = self.group_members(id).filter(|m| lost || self.health(m) != Health::Good);
+        let due = due.map(|m| (m.id, if search { SEARCH_PERIOD } else { rare(m) })).collect();
         self.probe_all(due, out);
     }
 
