Routers tell each other positions; spent client repeats hardly take a member's place

Where the settings allow messages, a router passes on what an answer or probe told it when that is newer than what all know by a quarter of the bound. A word counts as a report: it speaks of the time of its position, one ahead of the clock counts for nothing, and it says nothing of health or load. Cause 2 (all sites whose clients mark repeats): a repeat in a class that earns nothing late took the place of a first try.

--- a/crates/benchlink/src/host/tests.rs
+++ b/crates/benchlink/src/host/tests.rs
@@ -217,3 +217,22 @@
     let expected = [&DRIVER.to_le_bytes()[..], &6u16.to_le_bytes(), b"broken"].concat();
     assert_eq!(records(&reply.finish()), vec![(code::DIE, expected)]);
 }
+
+#[test]
+fn words_of_a_message_are_written_and_read_again() {
+    let dialect = dialect();
+    let word =
+        |member, ms: u64, role| Word { member: MemberId(member), position: dialect.zero + ms * 1000, role };
+    let sent = [word(7, 42_000, Some(Role::Primary)), word(9, 41_999, Some(Role::Replica)), word(8, 1, None)];
+    let mut reply = Reply::new(1);
+    write(DRIVER, &Action::Tell(sent.to_vec()), &dialect, &mut reply);
+    let posts = records(&reply.finish());
+    let (code, fields) = &posts[0];
+    assert_eq!((*code, posts.len(), fields.len()), (code::POST, 1, 4 + 2 + 2 + 3 * 8));
+    assert_eq!(words(&fields[8..], &dialect), sent);
+    assert_eq!(words(&fields[8..fields.len() - 1], &dialect), sent[..2], "a cut word is passed over");
+    let many = vec![sent[0].clone(); 40];
+    let mut reply = Reply::new(1);
+    write(DRIVER, &Action::Tell(many), &dialect, &mut reply);
+    assert!(records(&reply.finish()).iter().all(|(_, fields)| fields.len() <= 8 + 256));
+}
--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -41,6 +41,8 @@
     retry_after: bool,
     #[serde(default)]
     probes: bool,
+    #[serde(default)]
+    peer_messages: bool,
 }
 
 #[derive(Deserialize)]
@@ -139,6 +141,7 @@
             max_retry_after: facts.limits.max_retry_after_us,
             retry_after: facts.limits.retry_after,
             probes: facts.limits.probes,
+            peer_messages: facts.limits.peer_messages,
         },
         rules: api::RuleFigures {
             ask_within: facts.rules.ask_within_us,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -125,6 +125,8 @@
     pub retry_after: bool,
     /// Whether members may be probed.
     pub probes: bool,
+    /// Whether routers may send each other messages, which may be late or lost.
+    pub peer_messages: bool,
 }
 
 /// The figures of the rules.
@@ -239,6 +241,17 @@
     pub role: Option<Role>,
 }
 
+/// What routers tell each other of a member.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Word {
+    /// Which member.
+    pub member: MemberId,
+    /// Position that it had reached.
+    pub position: Micros,
+    /// The role that it named.
+    pub role: Option<Role>,
+}
+
 /// How an attempt or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -325,6 +338,8 @@
         /// The member's report.
         report: Report,
     },
+    /// What another router heard from members.
+    Told(Vec<Word>),
     /// The client is gone; nothing is owed any more.
     HungUp(RequestId),
     /// The timer that the router set is due.
@@ -356,6 +371,8 @@
     CloseIdle(MemberId),
     /// Probe a member.
     Probe(MemberId),
+    /// Tell all other routers what members said.
+    Tell(Vec<Word>),
     /// Wake the router after this time.
     SetTimer(Micros),
     /// Subscribe to the list.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -13,6 +13,8 @@
 const SEARCH_PERIOD: Micros = 100_000;
 /// A fresh router holds reads at the most this long for the first word of a primary, in microseconds.
 const FRESH_HOLD: Micros = 150_000;
+/// Positions are told to other routers in steps of this part of the tightest bound.
+const NEWS: u64 = 4;
 /// Consecutive failures after which a member is dropped (the design's default).
 const DROP_FAILURES: u32 = 3;
 /// Open attempts that a member may have from here before anything is known of it.
@@ -22,9 +24,7 @@
 /// Share of an aim, less three times the work, that waiting may take on average.
 const SPARE_SHARE: f64 = 0.35;
 /// Share of a member's limit that client repeats may take which hardly earn anything.
-const SPENT_SHARE: f64 = 0.5;
-/// Share of the way back to the aim that clients' patience is taken to go with each served request.
-const PATIENCE_GAIN: f64 = 0.005;
+const SPENT_SHARE: f64 = 0.05;
 /// Weight of a new sample in running means: about the last ten answers count.
 const GAIN: f64 = 0.1;
 /// Answers this far apart each count fully for how strained a member is, in microseconds.
@@ -73,6 +73,8 @@
     heard: Micros,
     /// Last time at which it said that it is no primary.
     denied: Micros,
+    /// Newest position that routers told each other.
+    shared: Micros,
     /// The list's word on its role.
     listed_primary: bool,
     /// The last probe had no answer.
@@ -133,14 +135,14 @@
     /// Mean when nothing waits: the least that the mean has been, slowly forgotten.
     base: f64,
     aim: f64,
-    /// Age at which clients hang up unannounced; the aim where they keep the time they named.
-    patience: f64,
 }
 
 /// One instance of the decision module.
 pub struct Router {
     settings: Settings,
     tick: Micros,
+    /// The tightest staleness bound of a class.
+    bound: Micros,
     random: u64,
     now: Micros,
     started: Micros,
@@ -150,6 +152,8 @@
     services: Vec<Service>,
     /// Commits that sessions must see, where the router remembers them.
     sessions: BTreeMap<SessionId, Micros>,
+    /// What is to be told to other routers.
+    news: Vec<Word>,
     /// Share of attempts of late that got no connection.
     refused: f64,
     /// Groups that were asked of late or have a line.
@@ -160,7 +164,9 @@
 impl Router {
     /// A router that knows nothing but its settings; the seed is its only randomness.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
+        let bound = |c: &Class| if let Consistency::Bounded(b) = c.consistency { b } else { Micros::MAX };
         Router {
+            bound: settings.classes.iter().map(bound).min().unwrap_or(Micros::MAX),
             services: settings.classes.iter().map(|c| Service::new(c.aim as f64)).collect(),
             tick: settings.step * TICK_STEPS,
             settings,
@@ -171,6 +177,7 @@
             groups: BTreeMap::new(),
             held: BTreeMap::new(),
             sessions: BTreeMap::new(),
+            news: Vec::new(),
             refused: 0.0,
             busy: BTreeSet::new(),
             resubscribe_at: None,
@@ -185,7 +192,8 @@
             Event::Request(request) => self.on_request(request, out),
             Event::AttemptEnded(ended) => self.on_outcome(ended, out),
             Event::ProbeEnded { member, outcome, report } => self.on_probe(*member, *outcome, report, out),
-            Event::HungUp(request) => self.on_hang_up(*request),
+            Event::Told(words) => words.iter().for_each(|word| self.on_word(word)),
+            Event::HungUp(request) => drop(self.held.remove(request)),
             Event::Timer => self.on_tick(out),
         }
     }
@@ -252,6 +260,11 @@
         // A position ahead of the clock can't be true.
         if let Some(p) = position.filter(|&p| p >= m.position && p <= self.now) {
             (m.position, m.heard) = (p, self.now);
+            // Routers that may talk tell each other what is news by a part of the bound; it spares probes.
+            if self.settings.limits.peer_messages && p > m.shared.saturating_add(self.bound / NEWS) {
+                m.shared = p;
+                self.news.push(Word { member: id, position: p, role });
+            }
         }
         let (believed, seen) = group.primary.map_or((false, 0), |(p, seen)| (p == id, seen));
         if role == Some(Role::Primary) && at > m.denied && (believed || at > seen) {
@@ -268,6 +281,14 @@
         at.into_iter().for_each(|at| self.learn(id, report.position, report.role, at));
     }
 
+    /// A peer's word counts as a report: it speaks of the time of its position.
+    fn on_word(&mut self, word: &Word) {
+        let Some(m) = self.members.get_mut(&word.member) else { return };
+        m.shared = m.shared.max(word.position.min(self.now));
+        let report = Report { position: Some(word.position), role: word.role, ..Report::default() };
+        self.learn_report(word.member, &report);
+    }
+
     /// Reads health and load from the end of an attempt.
     fn on_answer(&mut self, ended: &Ended, out: &mut Vec<Action>) {
         let (id, outcome) = (ended.member, ended.outcome);
@@ -393,13 +414,14 @@
         line.sort_by_cached_key(|id| self.precedence(&self.held[id]));
         line.retain(|id| {
             let held = &self.held[id];
-            if held.arrived < self.now && self.is_hopeless(held) {
-                self.give_up(*id, out);
-                return false;
+            let lapsed = held.arrived < self.now && self.is_hopeless(held);
+            let (chosen, spent) = (self.choose(held).filter(|_| !lapsed), self.is_spent(held));
+            match chosen {
+                Some(member) => self.send(*id, member, out),
+                None if lapsed || spent => self.give_up(*id, out),
+                None => return true,
             }
-            let chosen = self.choose(held);
-            chosen.into_iter().for_each(|member| self.send(*id, member, out));
-            chosen.is_none()
+            false
         });
         self.groups.entry(group).or_default().line = line;
     }
@@ -418,8 +440,8 @@
         let class = &self.settings.classes[held.class];
         let service = &self.services[held.class];
         let gain = class.worth / service.base;
-        let due = held.arrived + service.patience as Micros;
-        let late = self.now + service.mean as Micros > due || self.is_spent(held);
+        let due = held.arrived + class.aim;
+        let late = self.now + service.mean as Micros > due;
         (late, -(gain * 1e9) as i64, held.arrived)
     }
 
@@ -459,7 +481,7 @@
     /// tightest bound may hold up what a replica applies: they gather where it lags most already.
     fn next_turn<'m>(&self, held: &Held, among: impl Iterator<Item = &'m &'m Member>) -> Option<MemberId> {
         let any = self.settings.classes[held.class].consistency == Consistency::Any;
-        let long = any && self.services[held.class].base > self.tightest_bound() as f64;
+        let long = any && self.services[held.class].base > self.bound as f64;
         let lag = |m: &Member| if long { m.heard.saturating_sub(m.position) } else { 0 };
         let turn = |m: &Member| (u64::MAX - lag(m), m.zone != self.settings.zone, m.last_sent, m.open.len());
         among.filter(|m| self.has_room(held, m)).min_by_key(|m| turn(m)).map(|m| m.id)
@@ -563,12 +585,8 @@
         let service = &self.services[held.class];
         // A safe read leaves room for one more try within its aim; what may not be repeated is waited for.
         let tail = service.tail() as Micros;
-        let left = (held.arrived + service.patience as Micros).saturating_sub(now);
-        let timeout = match left.saturating_sub(tail) {
-            spare if class.effect != Effect::Safe || spare <= tail => 0,
-            _ if m.silent => tail,
-            spare => spare,
-        };
+        let left = (held.arrived + class.aim).saturating_sub(now);
+        let timeout = if class.effect == Effect::Safe && left > 2 * tail { tail } else { 0 };
         (held.sent, held.out) = (now, true);
         held.tried.push(to);
         m.open.push(Open { request: id, sent: now, class: held.class });
@@ -604,22 +622,11 @@
 
     // ---- Giving up ----
 
-    /// Clients that hang up before the time they named show how long they wait: longer is lost on them.
-    fn on_hang_up(&mut self, id: RequestId) {
-        let Some(held) = self.held.remove(&id) else { return };
-        let early = self.now + self.tick < held.ends;
-        let (service, age) = (&mut self.services[held.class], (self.now - held.arrived) as f64);
-        if early && age < service.patience {
-            service.patience += GAIN * (age - service.patience);
-        }
-    }
-
     /// Whether another attempt is not allowed, or would hardly end in time to earn anything.
     fn is_hopeless(&self, held: &Held) -> bool {
         let (class, service) = (&self.settings.classes[held.class], &self.services[held.class]);
         let end = held.ends.saturating_sub(2 * self.tick);
-        let patient = class.late_worth > 0.0 && service.patience >= service.aim;
-        let useful = if patient { held.ends } else { held.arrived + service.patience as Micros };
+        let useful = if class.late_worth > 0.0 { held.ends } else { held.arrived + class.aim };
         let end = end.min(useful.saturating_sub(service.mean as Micros));
         let spent = held.tried.len() >= self.settings.limits.max_attempts as usize;
         spent || !self.may_repeat(held, None) || self.now >= end
@@ -638,6 +645,7 @@
 
     fn on_tick(&mut self, out: &mut Vec<Action>) {
         out.push(Action::SetTimer(self.tick));
+        out.extend((!self.news.is_empty()).then(|| Action::Tell(std::mem::take(&mut self.news))));
         if self.resubscribe_at.is_some_and(|at| at <= self.now) {
             self.resubscribe_at = Some(self.now + self.settings.rules.ask_within / 4);
             out.push(Action::Subscribe);
@@ -650,11 +658,6 @@
         self.pump_busy(out);
     }
 
-    fn tightest_bound(&self) -> Micros {
-        let bound = |c: &Class| if let Consistency::Bounded(b) = c.consistency { b } else { Micros::MAX };
-        self.settings.classes.iter().map(bound).min().unwrap_or(Micros::MAX)
-    }
-
     /// A read whose replicas' records have run out has them probed, those of its own zone even while others
     /// are fresh. A record in use is renewed by its answers: probing by the clock would only cost more.
     fn probe_for(&mut self, held: &Held, out: &mut Vec<Action>) {
@@ -711,11 +714,7 @@
     /// A limit under one is the share of requests that may come here; without news it doubles now and then.
     fn present_limit(&self, now: Micros) -> f64 {
         let age = now.saturating_sub(self.told_at) as f64;
-        if self.limit < 1.0 {
-            (self.limit * (age / RECOVERY).exp2()).min(1.0)
-        } else {
-            self.limit
-        }
+        (self.limit * (age / RECOVERY).exp2()).min(self.limit.max(1.0))
     }
 }
 
@@ -723,14 +722,13 @@
     /// Until answers come, a class is taken to need a quarter of its aim.
     fn new(aim: f64) -> Self {
         let mean = aim / 4.0;
-        Service { mean, deviation: mean / 2.0, base: mean, aim, patience: aim }
+        Service { mean, deviation: mean / 2.0, base: mean, aim }
     }
 
     fn add(&mut self, took: f64) {
         self.deviation += GAIN / 2.0 * ((took - self.mean).abs() - self.deviation);
         self.mean += GAIN / 2.0 * (took - self.mean);
         self.base = self.base.min(self.mean);
-        self.patience += PATIENCE_GAIN * (self.aim - self.patience);
     }
 
     /// Nearly all answers come within this.
@@ -740,6 +738,6 @@
 
     /// Waiting that a member may add on average while the class's aim holds for nearly all.
     fn spare(&self) -> f64 {
-        (SPARE_SHARE * (self.patience - 3.0 * self.base).max(self.base)).max(1.0)
+        (SPARE_SHARE * (self.aim - 3.0 * self.base).max(self.base)).max(1.0)
     }
 }
