A read whose replicas' records ran out waits for their probes before it goes to the primary

Change: held up to 50 ms for probes of members not last heard to lag; a fresh router's hold became the same thing. With replicas known to lag it goes to the primary at once, as before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,8 +11,8 @@
 const PROBE_PERIOD: Micros = 1_000_000;
 /// Pause between probes of one member while its group's primary is sought, in microseconds.
 const SEARCH_PERIOD: Micros = 100_000;
-/// A fresh router holds reads at the most this long for the first word of a primary, in microseconds.
-const FRESH_HOLD: Micros = 150_000;
+/// A read without a fresh replica is held at the most this long for probes that are out, in microseconds.
+const PROBE_HOLD: Micros = 50_000;
 /// Positions are told to other routers in steps of this part of the tightest bound.
 const NEWS: u64 = 4;
 /// Consecutive failures after which a member is dropped (the design's default).
@@ -145,7 +145,6 @@
     bound: Micros,
     random: u64,
     now: Micros,
-    started: Micros,
     members: BTreeMap<MemberId, Member>,
     groups: BTreeMap<GroupId, Group>,
     held: BTreeMap<RequestId, Held>,
@@ -172,7 +171,6 @@
             settings,
             random: seed | 1,
             now,
-            started: now,
             members: BTreeMap::new(),
             groups: BTreeMap::new(),
             held: BTreeMap::new(),
@@ -459,18 +457,19 @@
         if matches!(consistency, Consistency::Write | Consistency::Fresh) {
             return primary.filter(|p| self.has_room(held, p)).map(|p| p.id);
         }
-        let told = self.groups.get(&held.group).is_some_and(|g| g.primary.is_some_and(|(_, seen)| seen > 0));
-        if !told && self.now < self.started + FRESH_HOLD {
-            return None;
-        }
-        let replicas = self.group_members(held.group).filter(|m| !self.is_primary(m));
-        let untried = replicas.filter(|m| !held.tried.contains(&m.id));
-        let eligible: Vec<&Member> = untried.filter(|m| self.may_send(held, m)).collect();
+        let untried = |m: &&Member| !self.is_primary(m) && !held.tried.contains(&m.id);
+        let replicas = self.group_members(held.group).filter(untried);
+        let eligible: Vec<&Member> = replicas.filter(|m| self.may_send(held, m)).collect();
         if let Some(suspect) = eligible.iter().find(|m| m.silent && self.has_room(held, m)) {
             return Some(suspect.id);
         }
         let good = |m: &&&Member| self.health(m) == Health::Good;
         let responsive = eligible.iter().any(|m| good(&m)) || primary.is_some_and(|p| good(&&p));
+        // One that was not known to lag is about to say how fresh it is; a fresh router waits for the first.
+        let awaited = |m: &Member| m.probe_out && self.now < m.probe_sent + PROBE_HOLD && !self.lagged(m);
+        if eligible.is_empty() && self.group_members(held.group).any(awaited) {
+            return None;
+        }
         // No eligible one has room: the primary, as far as writes spare it.
         let spill = || primary.filter(|p| self.has_room(held, p)).map(|p| p.id);
         let suspects = || self.next_turn(held, eligible.iter().filter(|_| !responsive));
@@ -503,16 +502,21 @@
     fn is_fresh(&self, held: &Held, m: &Member) -> bool {
         match self.settings.classes[held.class].consistency {
             // Members that check for themselves are asked on an outdated record too, unless it was of a lag.
-            Consistency::Bounded(bound) if self.settings.lag_check == LagCheck::Member && m.heard > 0 => {
-                m.heard <= m.position.saturating_add(bound)
+            Consistency::Bounded(bound) => {
+                let checks = self.settings.lag_check == LagCheck::Member && m.heard > 0 && !self.lagged(m);
+                checks || self.now <= m.position.saturating_add(bound)
             }
-            Consistency::Bounded(bound) => self.now <= m.position.saturating_add(bound),
             Consistency::Session => m.position >= held.floor,
             Consistency::Any => true,
             Consistency::Write | Consistency::Fresh => false,
         }
     }
 
+    /// Whether its last word put it further behind than the tightest bound.
+    fn lagged(&self, m: &Member) -> bool {
+        m.heard > m.position.saturating_add(self.bound)
+    }
+
     // ---- Guards: every send and every final answer of the module passes these ----
 
     /// Rules 1 to 5, as far as they bind a send.
@@ -584,8 +588,7 @@
         let class = &self.settings.classes[held.class];
         let service = &self.services[held.class];
         // A safe read leaves room for one more try within its aim; what may not be repeated is waited for.
-        let tail = service.tail() as Micros;
-        let left = (held.arrived + class.aim).saturating_sub(now);
+        let (tail, left) = (service.tail() as Micros, (held.arrived + class.aim).saturating_sub(now));
         let timeout = if class.effect == Effect::Safe && left > 2 * tail { tail } else { 0 };
         (held.sent, held.out) = (now, true);
         held.tried.push(to);
@@ -653,8 +656,7 @@
         if self.now % PROBE_PERIOD < self.tick {
             self.sessions.retain(|_, commit| *commit + SESSION_MEMORY > self.now);
         }
-        let fade = self.tick as f64 / MEMORY;
-        self.services.iter_mut().for_each(|s| s.base += fade * (s.mean - s.base));
+        self.services.iter_mut().for_each(|s| s.base += self.tick as f64 / MEMORY * (s.mean - s.base));
         self.pump_busy(out);
     }
 
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -35,15 +35,32 @@
     let mut stage = Stage::new();
     stage.now += 2 * BOUND;
     let (id, actions) = stage.ask(READ);
+    assert_eq!([2, 3].map(|m| probes(&actions, m)), [1, 1]);
+    assert_eq!(sent(&actions, id), None, "they were not known to lag, and are about to tell");
+    stage.probed(2, stage.now - BOUND - MS, false);
+    let actions = stage.probed(3, stage.now - BOUND - MS, false);
     assert_eq!(sent(&actions, id), Some(1));
-    assert_eq!([2, 3].map(|m| probes(&actions, m)), [1, 1], "for the reads that follow");
-    for member in [2, 3] {
-        stage.probed(member, stage.now - BOUND - MS, false);
-    }
     let (id, actions) = stage.ask(READ);
     assert_eq!(sent(&actions, id), Some(1));
 }
 
+/// A router of little traffic hears of its members less often than a bound is long; sent to the primary at
+/// once, its reads would take the place of writes there.
+#[test]
+fn a_read_waits_for_the_probe_of_a_replica_but_not_for_a_dead_one() {
+    let mut stage = Stage::new();
+    stage.now += 2 * BOUND;
+    let (id, actions) = stage.ask(READ);
+    assert_eq!(sent(&actions, id), None);
+    let actions = stage.probed(3, stage.now - MS, false);
+    assert_eq!(sent(&actions, id), Some(3));
+    stage.now += 2 * BOUND;
+    let (id, actions) = stage.ask(READ);
+    assert_eq!(sent(&actions, id), None);
+    let actions = stage.pass(60 * MS);
+    assert_eq!(sent(&actions, id), Some(1));
+}
+
 #[test]
 fn a_session_read_needs_its_token_reached() {
     let mut stage = Stage::new();
