--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -35,7 +35,8 @@
     assert!(!told(&stage.pass(10 * MS)), "hardly newer");
     stage.event(Event::Told(vec![word(stage.now + 1_000 * MS)]));
     stage.pass(2 * BOUND);
-    let (id, actions) = stage.ask(READ);
+    let (id, mut actions) = stage.ask(READ);
+    actions.extend(stage.pass(60 * MS));
     assert_eq!(sent(&actions, id), Some(1), "a word ahead of the clock counts for nothing");
 }
 
