Late requests get their worth's share of a member; a last try's age is told from its budget

Changes: a request's share of a member's limit, and its place in line, go by the worth it can still earn (late worth once it can't be in time; a twentieth at the least). Clients that do not mark repeats give the last one what is left of the deadline: a budget unlike the usual one (majority of those seen) tells how long ago the client first asked; a marked repeat whose age is known is no longer taken for spent. Wrong where first tries differ in length; then the usual one is unstable and most are young.

--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -55,6 +55,7 @@
 #[serde(rename_all = "camelCase")]
 struct Class {
     aim_us: u64,
+    deadline_us: u64,
     #[serde(default)]
     dedup_scope: Option<String>,
     idempotency: String,
@@ -189,6 +190,7 @@
         consistency,
         effect,
         aim: class.aim_us,
+        deadline: class.deadline_us,
         worth: class.worth,
         late_worth: class.late_worth,
     })
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -81,6 +81,8 @@
     pub effect: Effect,
     /// Answered within this it earns its full worth.
     pub aim: Micros,
+    /// A client waits this long over all its tries.
+    pub deadline: Micros,
     /// Worth of an answer in time.
     pub worth: f64,
     /// Share of the worth that a late answer earns.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,6 +37,8 @@
 const SILENT_SHARE: f64 = 0.02;
 /// Time in which a limit under one doubles without news, in microseconds.
 const RECOVERY: f64 = 2e6;
+/// Nearly all answers come within this many times the mean.
+const TAIL: f64 = 3.0;
 /// Time after which what was learnt of classes is mostly forgotten, in microseconds: longer than a jam.
 const MEMORY: f64 = 50e6;
 /// A session whose last commit is older than this needs only a position newer than that, in microseconds.
@@ -44,14 +46,6 @@
 /// Share of the cold budget that is used: the rest is for what cannot be seen from here.
 const COLD_MARGIN: f64 = 0.5;
 
-/// How far a member can be trusted.
-#[derive(Clone, Copy, PartialEq)]
-enum Health {
-    Good,
-    PossiblyDead,
-    Dropped,
-}
-
 /// An attempt that is out.
 struct Open {
     request: RequestId,
@@ -75,7 +69,6 @@
     denied: Micros,
     /// Newest position that routers told each other.
     shared: Micros,
-    /// The list's word on its role.
     listed_primary: bool,
     /// The last probe had no answer.
     dark: bool,
@@ -95,15 +88,13 @@
     load: f64,
 }
 
-/// What is known of a group.
+/// What is known of a group; when a request last named it, and those that wait for a member.
 #[derive(Default)]
 struct Group {
     members: Vec<MemberId>,
     /// The last known primary, and the time that the evidence speaks of.
     primary: Option<(MemberId, Micros)>,
-    /// When a request last named it.
     asked: Micros,
-    /// Requests that wait for a member.
     line: Vec<RequestId>,
 }
 
@@ -131,10 +122,12 @@
 /// Observed service times of a class, in microseconds.
 struct Service {
     mean: f64,
-    deviation: f64,
     /// Mean when nothing waits: the least that the mean has been, slowly forgotten.
     base: f64,
     aim: f64,
+    /// The time that clients give most tries, and the lead that it has over others.
+    budget: Micros,
+    votes: u32,
 }
 
 /// One instance of the decision module.
@@ -201,8 +194,7 @@
     fn on_list(&mut self, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
             // Anywhere within a quarter of the time allowed: a whole fleet may have failed at once.
-            let pause = self.draw(self.settings.rules.ask_within / 4);
-            self.resubscribe_at = Some(self.now + pause);
+            self.resubscribe_at = Some(self.now + self.draw(self.settings.rules.ask_within / 4));
             return;
         }
         self.resubscribe_at = None;
@@ -281,10 +273,10 @@
 
     /// A peer's word counts as a report: it speaks of the time of its position.
     fn on_word(&mut self, word: &Word) {
-        let Some(m) = self.members.get_mut(&word.member) else { return };
-        m.shared = m.shared.max(word.position.min(self.now));
-        let report = Report { position: Some(word.position), role: word.role, ..Report::default() };
-        self.learn_report(word.member, &report);
+        let sane = word.position <= self.now;
+        let Some(m) = self.members.get_mut(&word.member).filter(|_| sane) else { return };
+        m.shared = m.shared.max(word.position);
+        self.learn(word.member, Some(word.position), word.role, word.position);
     }
 
     /// Reads health and load from the end of an attempt.
@@ -350,15 +342,10 @@
         self.pump(group, out);
     }
 
-    fn health(&self, m: &Member) -> Health {
-        let silent = m.open.iter().any(|o| {
-            m.last_answer < o.sent && self.now > o.sent + 2 * self.services[o.class].tail() as Micros
-        });
-        match m.failures {
-            n if n >= DROP_FAILURES => Health::Dropped,
-            0 if !silent && !m.silent => Health::Good,
-            _ => Health::PossiblyDead,
-        }
+    /// Whether nothing speaks against a member; else it is possibly dead, and dropped after some failures.
+    fn is_good(&self, m: &Member) -> bool {
+        let overdue = |o: &Open| self.now > o.sent + 2 * self.services[o.class].tail() as Micros;
+        m.failures == 0 && !m.silent && !m.open.iter().any(|o| m.last_answer < o.sent && overdue(o))
     }
 
     /// The last known primary of a group, unless nothing new may go there.
@@ -390,7 +377,18 @@
             SessionMarks::Router => remembered.unwrap_or(forgotten),
         };
         let (class, group, session, repeat) = (request.class, request.group, request.session, request.repeat);
-        let (arrived, ends, lot) = (self.now, self.now + request.budget, self.draw(u64::MAX));
+        let (ends, lot) = (self.now + request.budget, self.draw(u64::MAX));
+        let service = &mut self.services[class];
+        // First tries all get the same time, a last one what is left of the deadline: so one of another length
+        // tells how long ago the client first asked. Shorter may also mean that a first try came late.
+        let (usual, deadline) =
+            (service.vote(request.budget, self.tick), self.settings.classes[class].deadline);
+        let age = match request.budget {
+            budget if budget.abs_diff(usual) <= self.tick => 0,
+            budget if repeat || budget > usual => deadline.saturating_sub(budget),
+            budget => usual - budget,
+        };
+        let (arrived, repeat) = (self.now.saturating_sub(age), repeat && age == 0);
         let held = Held { class, group, session, arrived, ends, repeat, lot, floor, ..Held::default() };
         self.probe_for(&held, out);
         self.held.insert(request.id, held);
@@ -404,7 +402,7 @@
         self.pump(group, out);
     }
 
-    /// Serves a group's line: first what can still be in time, then by worth for its work, then by age.
+    /// Serves a group's line by the worth that a request can still earn for its work, then by age.
     fn pump(&mut self, group: GroupId, out: &mut Vec<Action>) {
         let Some(g) = self.groups.get_mut(&group) else { return };
         let mut line = std::mem::take(&mut g.line);
@@ -413,13 +411,11 @@
         line.retain(|id| {
             let held = &self.held[id];
             let lapsed = held.arrived < self.now && self.is_hopeless(held);
-            let (chosen, spent) = (self.choose(held).filter(|_| !lapsed), self.is_spent(held));
-            match chosen {
-                Some(member) => self.send(*id, member, out),
-                None if lapsed || spent => self.give_up(*id, out),
-                None => return true,
-            }
-            false
+            let chosen = self.choose(held).filter(|_| !lapsed);
+            let over = chosen.is_none() && (lapsed || self.is_spent(held));
+            chosen.into_iter().for_each(|member| self.send(*id, member, out));
+            over.then(|| self.give_up(*id, out));
+            chosen.is_none() && !over
         });
         self.groups.entry(group).or_default().line = line;
     }
@@ -434,13 +430,9 @@
         }
     }
 
-    fn precedence(&self, held: &Held) -> (bool, i64, Micros) {
-        let class = &self.settings.classes[held.class];
-        let service = &self.services[held.class];
-        let gain = class.worth / service.base;
-        let due = held.arrived + class.aim;
-        let late = self.now + service.mean as Micros > due;
-        (late, -(gain * 1e9) as i64, held.arrived)
+    fn precedence(&self, held: &Held) -> (i64, Micros) {
+        let (class, service) = (&self.settings.classes[held.class], &self.services[held.class]);
+        (-(class.worth * self.value(held) / service.base * 1e9) as i64, held.arrived)
     }
 
     /// A client's repeat has mostly used up the aim of its first try: often it earns nothing any more.
@@ -448,6 +440,13 @@
         held.repeat && self.settings.classes[held.class].late_worth == 0.0
     }
 
+    /// Share of its worth that a request can still earn, at least a little.
+    fn value(&self, held: &Held) -> f64 {
+        let class = &self.settings.classes[held.class];
+        let late = self.now + self.services[held.class].mean as Micros > held.arrived + class.aim;
+        [1.0, class.late_worth.max(SPENT_SHARE)][usize::from(late || self.is_spent(held))]
+    }
+
     // ---- Choice of a member ----
 
     /// Where to send a request now; nowhere: it waits.
@@ -463,7 +462,7 @@
         if let Some(suspect) = eligible.iter().find(|m| m.silent && self.has_room(held, m)) {
             return Some(suspect.id);
         }
-        let good = |m: &&&Member| self.health(m) == Health::Good;
+        let good = |m: &&&Member| self.is_good(m);
         let responsive = eligible.iter().any(|m| good(&m)) || primary.is_some_and(|p| good(&&p));
         // One that was not known to lag is about to say how fresh it is; a fresh router waits for the first.
         let awaited = |m: &Member| m.probe_out && self.now < m.probe_sent + PROBE_HOLD && !self.lagged(m);
@@ -489,13 +488,12 @@
     /// Whether a member's limit leaves room: reads take a part of a primary's, spent repeats of any.
     fn has_room(&self, held: &Held, m: &Member) -> bool {
         let share = if !self.is_write(held) && self.is_primary(m) { READ_SHARE } else { 1.0 };
-        let share = if self.is_spent(held) { share * SPENT_SHARE } else { share };
+        let share = share * self.value(held);
         let limit = m.present_limit(self.now) * share * self.warmth(m);
-        match self.health(m) {
-            Health::Dropped => false,
-            Health::Good if limit >= 1.0 => (m.open.len() as f64) < limit,
-            _ => m.open.is_empty() && self.lot(held, m) < limit,
+        if limit >= 1.0 && self.is_good(m) {
+            return (m.open.len() as f64) < limit;
         }
+        m.failures < DROP_FAILURES && m.open.is_empty() && self.lot(held, m) < limit
     }
 
     /// Whether a member's known position is enough for this read.
@@ -585,17 +583,13 @@
     fn send(&mut self, id: RequestId, to: MemberId, out: &mut Vec<Action>) {
         let now = self.now;
         let (Some(held), Some(m)) = (self.held.get_mut(&id), self.members.get_mut(&to)) else { return };
-        let class = &self.settings.classes[held.class];
         let service = &self.services[held.class];
-        // A safe read leaves room for one more try within its aim; what may not be repeated is waited for.
-        let (tail, left) = (service.tail() as Micros, (held.arrived + class.aim).saturating_sub(now));
-        let timeout = if class.effect == Effect::Safe && left > 2 * tail { tail } else { 0 };
         (held.sent, held.out) = (now, true);
         held.tried.push(to);
         m.open.push(Open { request: id, sent: now, class: held.class });
         m.load = load_left(m, now, self.settings.rules.fall_window) + service.base;
         m.last_sent = now;
-        out.push(Action::Send { request: id, member: to, timeout });
+        out.push(Action::Send { request: id, member: to, timeout: 0 });
     }
 
     // ---- Outcome ----
@@ -679,10 +673,10 @@
     fn probe_due(&mut self, id: GroupId, out: &mut Vec<Action>) {
         let Some(group) = self.groups.get(&id) else { return };
         let silent = group.primary.is_some_and(|(_, seen)| self.now > seen + PROBE_PERIOD);
-        let lost = self.primary(id).is_none_or(|p| silent && self.health(p) != Health::Good);
+        let lost = self.primary(id).is_none_or(|p| silent && !self.is_good(p));
         let search = lost && !group.line.is_empty();
         let rare = |m: &Member| PROBE_PERIOD << m.failures.min(DROP_FAILURES);
-        let due = self.group_members(id).filter(|m| lost || self.health(m) != Health::Good);
+        let due = self.group_members(id).filter(|m| lost || !self.is_good(m));
         let due = due.map(|m| (m.id, if search { SEARCH_PERIOD } else { rare(m) })).collect();
         self.probe_all(due, out);
     }
@@ -724,18 +718,25 @@
     /// Until answers come, a class is taken to need a quarter of its aim.
     fn new(aim: f64) -> Self {
         let mean = aim / 4.0;
-        Service { mean, deviation: mean / 2.0, base: mean, aim }
+        Service { mean, base: mean, aim, budget: 0, votes: 0 }
+    }
+
+    fn vote(&mut self, budget: Micros, slack: Micros) -> Micros {
+        match budget.abs_diff(self.budget) <= slack {
+            true => self.votes += 1,
+            false if self.votes == 0 => self.budget = budget,
+            false => self.votes -= 1,
+        }
+        self.budget
     }
 
     fn add(&mut self, took: f64) {
-        self.deviation += GAIN / 2.0 * ((took - self.mean).abs() - self.deviation);
         self.mean += GAIN / 2.0 * (took - self.mean);
         self.base = self.base.min(self.mean);
     }
 
-    /// Nearly all answers come within this.
     fn tail(&self) -> f64 {
-        self.mean + 3.0 * self.deviation
+        TAIL * self.mean
     }
 
     /// Waiting that a member may add on average while the class's aim holds for nearly all.
