Where a member is strained, what earns less for its work backs off further

Change: a limit under one is raised to the root of how much more the best class that goes there earns for its work; a limit of one or more is as it was.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -106,14 +106,14 @@
     session: Option<SessionId>,
     arrived: Micros,
     ends: Micros,
-    repeat: bool,
+    /// A client's repeat of unknown age: mostly it has used up the aim and earns nothing any more.
+    spent: bool,
     /// Drawn once: what goes by share takes or leaves a request for good, however often it is looked at.
     lot: u64,
     /// Position that a member must have reached to serve it (sessions).
     floor: Micros,
-    /// When its last attempt was sent, and whether that is still out.
-    sent: Micros,
-    out: bool,
+    /// When the attempt that is out was sent.
+    out: Option<Micros>,
     tried: Vec<MemberId>,
     /// First send that may have run, and where.
     risk: Option<(Micros, MemberId)>,
@@ -379,7 +379,7 @@
         let (class, group, session, repeat) = (request.class, request.group, request.session, request.repeat);
         let (ends, lot) = (self.now + request.budget, self.draw(u64::MAX));
         let service = &mut self.services[class];
-        // First tries all get the same time, a last one what is left of the deadline: so one of another length
+        // First tries all get the same time, a last one what is left of the deadline: one of another length
         // tells how long ago the client first asked. Shorter may also mean that a first try came late.
         let (usual, deadline) =
             (service.vote(request.budget, self.tick), self.settings.classes[class].deadline);
@@ -388,8 +388,9 @@
             budget if repeat || budget > usual => deadline.saturating_sub(budget),
             budget => usual - budget,
         };
-        let (arrived, repeat) = (self.now.saturating_sub(age), repeat && age == 0);
-        let held = Held { class, group, session, arrived, ends, repeat, lot, floor, ..Held::default() };
+        let spent = repeat && age == 0 && self.settings.classes[class].late_worth == 0.0;
+        let arrived = self.now.saturating_sub(age);
+        let held = Held { class, group, session, arrived, ends, spent, lot, floor, ..Held::default() };
         self.probe_for(&held, out);
         self.held.insert(request.id, held);
         self.groups.entry(request.group).or_default().asked = self.now;
@@ -412,7 +413,7 @@
             let held = &self.held[id];
             let lapsed = held.arrived < self.now && self.is_hopeless(held);
             let chosen = self.choose(held).filter(|_| !lapsed);
-            let over = chosen.is_none() && (lapsed || self.is_spent(held));
+            let over = chosen.is_none() && (lapsed || held.spent);
             chosen.into_iter().for_each(|member| self.send(*id, member, out));
             over.then(|| self.give_up(*id, out));
             chosen.is_none() && !over
@@ -435,16 +436,11 @@
         (-(class.worth * self.value(held) / service.base * 1e9) as i64, held.arrived)
     }
 
-    /// A client's repeat has mostly used up the aim of its first try: often it earns nothing any more.
-    fn is_spent(&self, held: &Held) -> bool {
-        held.repeat && self.settings.classes[held.class].late_worth == 0.0
-    }
-
     /// Share of its worth that a request can still earn, at least a little.
     fn value(&self, held: &Held) -> f64 {
         let class = &self.settings.classes[held.class];
         let late = self.now + self.services[held.class].mean as Micros > held.arrived + class.aim;
-        [1.0, class.late_worth.max(SPENT_SHARE)][usize::from(late || self.is_spent(held))]
+        [1.0, class.late_worth.max(SPENT_SHARE)][usize::from(late || held.spent)]
     }
 
     // ---- Choice of a member ----
@@ -485,7 +481,7 @@
         among.filter(|m| self.has_room(held, m)).min_by_key(|m| turn(m)).map(|m| m.id)
     }
 
-    /// Whether a member's limit leaves room: reads take a part of a primary's, spent repeats of any.
+    /// Whether a member's limit leaves room: less for reads at a primary, and for what can earn less there.
     fn has_room(&self, held: &Held, m: &Member) -> bool {
         let share = if !self.is_write(held) && self.is_primary(m) { READ_SHARE } else { 1.0 };
         let share = share * self.value(held);
@@ -493,6 +489,11 @@
         if limit >= 1.0 && self.is_good(m) {
             return (m.open.len() as f64) < limit;
         }
+        let density = |i: usize| self.settings.classes[i].worth / self.services[i].base;
+        let here =
+            |i: &usize| self.is_primary(m) || self.settings.classes[*i].consistency != Consistency::Write;
+        let best = (0..self.services.len()).filter(here).map(density).fold(0.0, f64::max);
+        let limit = limit.min(1.0).powf((best / density(held.class)).sqrt());
         m.failures < DROP_FAILURES && m.open.is_empty() && self.lot(held, m) < limit
     }
 
@@ -522,7 +523,7 @@
         let in_time = self.now < held.ends && held.tried.len() < self.settings.limits.max_attempts as usize;
         let fresh = self.is_primary(m) || self.is_fresh(held, m);
         let placed = !m.barred && m.group == held.group && self.cold_room(held, m);
-        placed && fresh && !held.out && in_time && self.may_repeat(held, Some(m))
+        placed && fresh && held.out.is_none() && in_time && self.may_repeat(held, Some(m))
     }
 
     /// Rule 2: whether a request may be sent again, to this member if one is given.
@@ -575,7 +576,7 @@
     fn may_refuse(&self, held: &Held) -> bool {
         let effect = self.settings.classes[held.class].effect;
         let harmless = matches!(effect, Effect::Safe | Effect::Keyed(DedupScope::All, _));
-        harmless || held.risk.is_none() && !held.out
+        harmless || held.risk.is_none() && held.out.is_none()
     }
 
     // ---- Sending ----
@@ -584,7 +585,7 @@
         let now = self.now;
         let (Some(held), Some(m)) = (self.held.get_mut(&id), self.members.get_mut(&to)) else { return };
         let service = &self.services[held.class];
-        (held.sent, held.out) = (now, true);
+        held.out = Some(now);
         held.tried.push(to);
         m.open.push(Open { request: id, sent: now, class: held.class });
         m.load = load_left(m, now, self.settings.rules.fall_window) + service.base;
@@ -600,10 +601,8 @@
         let Some(held) = self.held.get_mut(&id) else { return };
         let write = self.settings.classes[held.class].consistency == Consistency::Write;
         let group = held.group;
-        held.out = false;
-        if !ended.outcome.never_ran() && held.risk.is_none() {
-            held.risk = Some((held.sent, ended.member));
-        }
+        let ran = held.out.take().filter(|_| !ended.outcome.never_ran());
+        held.risk = held.risk.or(ran.map(|sent| (sent, ended.member)));
         if ended.finished {
             if let (true, Some(session), Some(commit)) = (write, held.session, ended.note.position) {
                 self.sessions.entry(session).and_modify(|seen| *seen = commit.max(*seen)).or_insert(commit);
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -302,3 +302,28 @@
     }
     assert!(to_two > 0 && to_two < 20, "it may have restarted unseen, but got {to_two}");
 }
+
+/// Among many routers none has a line in which worth could go first: what is worth less backs off further.
+#[test]
+fn reads_leave_a_strained_primary_to_writes_worth_more() {
+    let sends = |class| {
+        let mut sends = 0;
+        for seed in 1..=100 {
+            let mut settings = settings();
+            settings.routers = 200;
+            settings.classes[WRITE].worth = 16.0;
+            let (mut stage, _) = Stage::seeded(seed * 7919, settings, &[entry(1, 0, true)]);
+            stage.now += 5 * MS;
+            stage.probed(1, stage.now - MS, true);
+            let (id, _) = stage.ask(WRITE);
+            stage.now += 2_000 * MS;
+            stage.took = 250 * MS;
+            stage.ended(id, 1, Outcome::Served, stage.note(Role::Primary));
+            let (id, actions) = stage.ask(class);
+            sends += i32::from(sent(&actions, id).is_some());
+        }
+        sends
+    };
+    let (reads, writes) = (sends(READ), sends(WRITE));
+    assert!(writes > 20 && reads * 3 < writes, "{reads} reads and {writes} writes of 100");
+}
