Probes go where they still tell something: not after a word, rarely to members that pass them

Evidence that nothing was to be learnt: the probes went through and named the same role and a position that stood still.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -13,8 +13,10 @@
 const SEARCH_PERIOD: Micros = 100_000;
 /// A read without a fresh replica is held at the most this long for probes that are out, in microseconds.
 const PROBE_HOLD: Micros = 50_000;
-/// Positions are told to other routers in steps of this part of the tightest bound.
-const NEWS: u64 = 4;
+/// Positions are told to other routers once in this part of the tightest bound.
+const NEWS: u64 = 2;
+/// That pause is at least this part of the time for which the primary has been silent.
+const SEARCH_SPREAD: u64 = 16;
 /// Consecutive failures after which a member is dropped (the design's default).
 const DROP_FAILURES: u32 = 3;
 /// Open attempts that a member may have from here before anything is known of it.
@@ -46,14 +48,12 @@
 /// Share of the cold budget that is used: the rest is for what cannot be seen from here.
 const COLD_MARGIN: f64 = 0.5;
 
-/// An attempt that is out.
 struct Open {
     request: RequestId,
     sent: Micros,
     class: usize,
 }
 
-/// What is known of a member.
 #[derive(Default)]
 struct Member {
     id: MemberId,
@@ -67,7 +67,7 @@
     heard: Micros,
     /// Last time at which it said that it is no primary.
     denied: Micros,
-    /// Newest position that routers told each other.
+    /// When routers last told each other of it.
     shared: Micros,
     listed_primary: bool,
     /// The last probe had no answer.
@@ -88,7 +88,7 @@
     load: f64,
 }
 
-/// What is known of a group; when a request last named it, and those that wait for a member.
+/// A group, with when a request last named it and those that wait.
 #[derive(Default)]
 struct Group {
     members: Vec<MemberId>,
@@ -245,14 +245,15 @@
 
     /// Takes what a member said of itself; `at` is the time that the evidence speaks of.
     fn learn(&mut self, id: MemberId, position: Option<Micros>, role: Option<Role>, at: Micros) {
-        let Some(m) = self.members.get_mut(&id) else { return };
+        // What names a position ahead of the clock can't be true.
+        let sane = position.is_none_or(|p| p <= self.now);
+        let Some(m) = self.members.get_mut(&id).filter(|_| sane) else { return };
         let group = self.groups.entry(m.group).or_default();
-        // A position ahead of the clock can't be true.
-        if let Some(p) = position.filter(|&p| p >= m.position && p <= self.now) {
+        if let Some(p) = position.filter(|&p| p >= m.position) {
             (m.position, m.heard) = (p, self.now);
-            // Routers that may talk tell each other what is news by a part of the bound; it spares probes.
-            if self.settings.limits.peer_messages && p > m.shared.saturating_add(self.bound / NEWS) {
-                m.shared = p;
+            // Routers that may talk tell each other what none told for a part of the bound: it spares probes.
+            if self.settings.limits.peer_messages && self.now > m.shared.saturating_add(self.bound / NEWS) {
+                m.shared = self.now;
                 self.news.push(Word { member: id, position: p, role });
             }
         }
@@ -267,15 +268,13 @@
 
     /// A report speaks of the time of its position, which for a primary was the present.
     fn learn_report(&mut self, id: MemberId, report: &Report) {
-        let at = report.position.filter(|&p| p <= self.now);
-        at.into_iter().for_each(|at| self.learn(id, report.position, report.role, at));
+        report.position.into_iter().for_each(|at| self.learn(id, Some(at), report.role, at));
     }
 
     /// A peer's word counts as a report: it speaks of the time of its position.
     fn on_word(&mut self, word: &Word) {
-        let sane = word.position <= self.now;
-        let Some(m) = self.members.get_mut(&word.member).filter(|_| sane) else { return };
-        m.shared = m.shared.max(word.position);
+        let Some(m) = self.members.get_mut(&word.member) else { return };
+        m.shared = self.now;
         self.learn(word.member, Some(word.position), word.role, word.position);
     }
 
@@ -663,21 +662,22 @@
         let due = stale.iter().filter(|m| fresh.is_empty() || near(m) && !fresh.iter().any(near));
         // One that lags far needs time to catch up: it is asked less often.
         let pause = |m: &Member| (bound / 2).max(self.now.saturating_sub(m.position) / 4).min(PROBE_PERIOD);
-        let due = due.map(|m| (m.id, pause(m))).collect();
+        let due = due.filter(|m| self.now >= m.heard + pause(m)).map(|m| (m.id, pause(m))).collect();
         self.probe_all(due, out);
     }
 
-    /// Members in trouble are probed while requests name the group, the rarer the longer it lasts; all of a
-    /// group without a primary, or with one long silent, and often while a request waits for it.
+    /// Members in trouble are probed while requests name the group, rarely where that tells no more; all of a
+    /// group without a primary or with one long silent, often while a request waits, the rarer the longer.
     fn probe_due(&mut self, id: GroupId, out: &mut Vec<Action>) {
         let Some(group) = self.groups.get(&id) else { return };
-        let silent = group.primary.is_some_and(|(_, seen)| self.now > seen + PROBE_PERIOD);
-        let lost = self.primary(id).is_none_or(|p| silent && !self.is_good(p));
-        let search = lost && !group.line.is_empty();
-        let rare = |m: &Member| PROBE_PERIOD << m.failures.min(DROP_FAILURES);
+        let silent = group.primary.map_or(0, |(_, seen)| self.now.saturating_sub(seen));
+        let lost = self.primary(id).is_none_or(|p| silent > PROBE_PERIOD && !self.is_good(p));
+        let search = (lost && !group.line.is_empty()).then_some(silent / SEARCH_SPREAD);
+        let doublings = |m: &Member| m.failures.max(u32::from(m.silent && !m.dark) * DROP_FAILURES);
+        let rare = |m| PROBE_PERIOD << doublings(m).min(DROP_FAILURES);
+        let pause = |m| search.map_or(rare(m), |p| p.clamp(SEARCH_PERIOD, PROBE_PERIOD));
         let due = self.group_members(id).filter(|m| lost || !self.is_good(m));
-        let due = due.map(|m| (m.id, if search { SEARCH_PERIOD } else { rare(m) })).collect();
-        self.probe_all(due, out);
+        self.probe_all(due.map(|m| (m.id, pause(m))).collect(), out);
     }
 
     /// Probes each member unless it was probed within its pause or a probe is out.
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -166,6 +166,7 @@
     let note = Note { position: Some(stage.now - 2 * BOUND), role: Some(Role::Replica) };
     let actions = stage.ended(id, 2, Outcome::Misplaced, note);
     assert_eq!(sent(&actions, id), Some(1));
+    stage.pass(BOUND);
     let (id, actions) = stage.ask(READ);
     assert_eq!((sent(&actions, id), probes(&actions, 2)), (Some(1), 1));
 }
