--- a/src/rules.rs
+++ b/src/rules.rs
@@ -299,7 +299,7 @@
             Outcome::TimedOut if m.last_answer < attempt.sent => {
                 m.silent |= ended.took as f64 >= self.services[attempt.class].tail();
             }
-            Outcome::Unreachable if self.refused > SCARCE && !m.dark => {}
+            Outcome::Unreachable if self.refused > SCARCE && !m.dark => m.failures = m.failures.max(1),
             Outcome::Unreachable | Outcome::Reset => m.failures += 1,
             _ => {}
         }
