Waiting may take a quarter of what aims spare, not a third

Cause: with answers sparse, a share follows late answers with a delay; a lower mark leaves room for what comes until then.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -24,7 +24,7 @@
 /// Share of a member's limit on open attempts that reads may take at a primary; the rest is for writes.
 const READ_SHARE: f64 = 0.6;
 /// Share of an aim, less three times the work, that waiting may take on average.
-const SPARE_SHARE: f64 = 0.35;
+const SPARE_SHARE: f64 = 0.25;
 /// Share of a member's limit that client repeats may take which hardly earn anything.
 const SPENT_SHARE: f64 = 0.05;
 /// Weight of a new sample in running means: about the last ten answers count.
