Cold members get up to half their turns while the others of the group are up

Now the lot leaves it half its turns times its part while the others answer, and one member's worth of all reads when they don't.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -134,7 +134,6 @@
 pub struct Router {
     settings: Settings,
     tick: Micros,
-    /// The tightest staleness bound of a class.
     bound: Micros,
     random: u64,
     now: Micros,
@@ -546,19 +545,20 @@
         rules.cold_share + (1.0 - rules.cold_share) * grown
     }
 
-    /// Rule 4: by lot a cold member gets a part of one member's worth of each router's own reads, or of its
-    /// writes: the sum keeps the budget however many routers there are. Within the window it also stays a
-    /// part of what this router sends a warm one: one of much traffic is not to spend it in a burst.
+    /// Rule 4: by lot a cold member gets a part of one member's worth of each router's own reads (of half its
+    /// turns while others are up) and writes: the sum keeps the budget, however many routers. In the window it
+    /// stays a part of what this router sends a warm one: one of much traffic is not to spend it in a burst.
     fn cold_room(&self, held: &Held, m: &Member) -> bool {
         let share = self.warmth(m) * self.settings.rules.fall_multiple * COLD_MARGIN;
         let others = || self.group_members(m.group).filter(|o| !o.barred);
-        let heirs = if self.is_write(held) { 1 } else { others().count().max(1) };
+        let up = others().filter(|o| o.failures == 0 && !o.silent).count() as f64 / 2.0;
+        let part = if self.is_write(held) { 1.0 } else { up.max(1.0) / others().count().max(1) as f64 };
         let work = self.services[held.class].base;
         let load = |m| load_left(m, self.now, self.settings.rules.fall_window);
         let warm = others().filter(|o| self.warmth(o) >= 1.0);
         let (count, sum) = warm.fold((0.0, 0.0), |(count, sum), o| (count + 1.0, sum + load(o)));
         let in_window = load(m) < work / 2.0 || load(m) + work <= sum / f64::max(count, 1.0) * share;
-        self.warmth(m) >= 1.0 || in_window && self.lot(held, m) < share / heirs as f64
+        self.warmth(m) >= 1.0 || in_window && self.lot(held, m) < share * part
     }
 
     fn is_write(&self, held: &Held) -> bool {
