--- a/src/rules.rs
+++ b/src/rules.rs
@@ -546,7 +546,7 @@
     }
 
     /// Rule 4: by lot a cold member gets a part of one member's worth of each router's own reads (of half its
-    /// turns while others are up) and writes: the sum keeps the budget, however many routers. In the window it
+    /// turns while others are up) and writes: the sum keeps the budget for any fleet. Within the window it
     /// stays a part of what this router sends a warm one: one of much traffic is not to spend it in a burst.
     fn cold_room(&self, held: &Held, m: &Member) -> bool {
         let share = self.warmth(m) * self.settings.rules.fall_multiple * COLD_MARGIN;
