--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -327,3 +327,50 @@
     let (reads, writes) = (sends(READ), sends(WRITE));
     assert!(writes > 20 && reads * 3 < writes, "{reads} reads and {writes} writes of 100");
 }
+
+/// Resets from here say nothing of a member that serves other routers: it yields its turns, and is back with
+/// its first answer.
+#[test]
+fn a_member_whose_attempts_are_reset_yields_its_turns_until_it_answers() {
+    let mut stage = Stage::new();
+    let (id, actions) = stage.ask(ANY);
+    assert_eq!(sent(&actions, id), Some(2));
+    let actions = stage.ended(id, 2, Outcome::Reset, Note::default());
+    assert_eq!(sent(&actions, id), Some(3), "another zone's replica takes over");
+    stage.ended(id, 3, Outcome::Served, Note::default());
+    let mut probed = 0;
+    for _ in 0..25 {
+        let (id, actions) = stage.ask(ANY);
+        assert_eq!(sent(&actions, id), Some(3));
+        stage.ended(id, 3, Outcome::Served, Note::default());
+        probed += probes(&stage.pass(100 * MS), 2);
+    }
+    assert_eq!(probed, 1, "asked whether it is there, but not by the clock");
+    stage.probed(2, stage.now, false);
+    let (id, actions) = stage.ask(ANY);
+    assert_eq!(sent(&actions, id), Some(2), "neither dropped nor cold");
+}
+
+/// Where a gone entry binds, a list that calls all members gone leaves nobody: the answer has to be prompt.
+#[test]
+fn a_list_that_calls_all_gone_is_obeyed_and_reads_are_refused_before_their_aim() {
+    let mut stage = Stage::new();
+    stage.list(ListKind::Full, &[]);
+    let (id, mut actions) = stage.ask(ANY);
+    actions.extend(stage.pass(500 * MS));
+    assert!(refused(&actions, id) && sent(&actions, id).is_none());
+    stage.list(ListKind::Full, &entries());
+    let (id, actions) = stage.ask(ANY);
+    assert!(sent(&actions, id).is_some(), "the true list is back");
+}
+
+/// The same list where only draining binds: who still answers goes on being used.
+#[test]
+fn a_list_that_calls_all_gone_is_not_believed_where_only_draining_binds() {
+    let mut settings = settings();
+    settings.rules.only_draining_binds = true;
+    let mut stage = Stage::with(settings, &entries());
+    stage.list(ListKind::Full, &[]);
+    let (id, actions) = stage.ask(ANY);
+    assert_eq!(sent(&actions, id), Some(2));
+}
