Tidy-up after reading the change once more; what is decided stays the same

Sums for rule 4 are made for cold members only (they had come to run for every candidate of every request); no member is chosen for a request that is given up anyway; one place says what a write is; the aim stands in the class alone; a constant's comment is back beside what it speaks of; the adapter's test of an unknown word for extra.guards is back, as that check is.

--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -29,8 +29,8 @@
     pub const LOSE: u8 = 67;
     pub const SCHEDULE: u8 = 69;
     pub const TEST: u8 = 70;
-    pub const POST: u8 = 72;
     pub const DROP_CONNS: u8 = 71;
+    pub const POST: u8 = 72;
     pub const PRINT: u8 = 73;
     pub const DIE: u8 = 74;
     pub const FOLLOW: u8 = 75;
--- a/crates/benchlink/src/host/tests.rs
+++ b/crates/benchlink/src/host/tests.rs
@@ -203,6 +203,7 @@
         play(&mut Host::default(), 2_000_000, &body).unwrap_err()
     };
     assert!(with("\"pushed\"", "\"telepathy\"").contains("discovery is \"telepathy\""));
+    assert!(with("\"silent\"", "\"loud\"").contains("extra.guards"));
     assert!(with("[\"recent\", \"update\"]", "[\"recent\"]").contains("1 entries"));
     assert!(with("\"idempotent\"", "\"maybe\"").contains("idempotency"));
     assert!(with("\"stepUs\": 5000,", "").contains("stepUs"));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,12 +11,12 @@
 const PROBE_PERIOD: Micros = 1_000_000;
 /// Pause between probes of one member while its group's primary is sought, in microseconds.
 const SEARCH_PERIOD: Micros = 100_000;
+/// That pause is at least this part of the time for which the primary has been silent.
+const SEARCH_SPREAD: u64 = 16;
 /// A read without a fresh replica is held at the most this long for probes that are out, in microseconds.
 const PROBE_HOLD: Micros = 50_000;
 /// Positions are told to other routers once in this part of the tightest bound.
 const NEWS: u64 = 2;
-/// That pause is at least this part of the time for which the primary has been silent.
-const SEARCH_SPREAD: u64 = 16;
 /// Consecutive failures after which a member is dropped (the design's default).
 const DROP_FAILURES: u32 = 3;
 /// Open attempts that a member may have from here before anything is known of it.
@@ -124,7 +124,6 @@
     mean: f64,
     /// Mean when nothing waits: the least that the mean has been, slowly forgotten.
     base: f64,
-    aim: f64,
     /// The time that clients give most tries, and the lead that it has over others.
     budget: Micros,
     votes: u32,
@@ -286,7 +285,7 @@
         let Some(at) = m.open.iter().position(|o| o.request == ended.request) else { return };
         let attempt = m.open.swap_remove(at);
         // What a served write's note tells is its commit, no position to count on.
-        let write = self.settings.classes[attempt.class].consistency == Consistency::Write;
+        let write = self.is_write(attempt.class);
         let position = ended.note.position.filter(|_| !write || outcome != Outcome::Served);
         self.learn(id, position, ended.note.role, now);
         let Some(m) = self.members.get_mut(&id) else { return };
@@ -306,9 +305,10 @@
         // Members that accept few connections are not to have them taken up by idle ones of a whole fleet.
         out.extend((m.open.is_empty() && self.refused > SCARCE).then_some(Action::CloseIdle(id)));
         let service = &mut self.services[attempt.class];
+        let aim = self.settings.classes[attempt.class].aim as f64;
         let least = (LEAST_OPEN / f64::from(self.settings.routers.max(1))).min(1.0);
         let strain = match outcome {
-            Outcome::Served | Outcome::TimedOut => (ended.took as f64 - service.base) / service.spare(),
+            Outcome::Served | Outcome::TimedOut => (ended.took as f64 - service.base) / service.spare(aim),
             Outcome::Full => 3.0,
             _ => return,
         };
@@ -410,7 +410,7 @@
         line.retain(|id| {
             let held = &self.held[id];
             let lapsed = held.arrived < self.now && self.is_hopeless(held);
-            let chosen = self.choose(held).filter(|_| !lapsed);
+            let chosen = if lapsed { None } else { self.choose(held) };
             let over = chosen.is_none() && (lapsed || held.spent);
             chosen.into_iter().for_each(|member| self.send(*id, member, out));
             over.then(|| self.give_up(*id, out));
@@ -481,15 +481,14 @@
 
     /// Whether a member's limit leaves room: less for reads at a primary, and for what can earn less there.
     fn has_room(&self, held: &Held, m: &Member) -> bool {
-        let share = if !self.is_write(held) && self.is_primary(m) { READ_SHARE } else { 1.0 };
+        let share = if !self.is_write(held.class) && self.is_primary(m) { READ_SHARE } else { 1.0 };
         let share = share * self.value(held);
         let limit = m.present_limit(self.now) * share * self.warmth(m);
         if limit >= 1.0 && self.is_good(m) {
             return (m.open.len() as f64) < limit;
         }
         let density = |i: usize| self.settings.classes[i].worth / self.services[i].base;
-        let here =
-            |i: &usize| self.is_primary(m) || self.settings.classes[*i].consistency != Consistency::Write;
+        let here = |i: &usize| self.is_primary(m) || !self.is_write(*i);
         let best = (0..self.services.len()).filter(here).map(density).fold(0.0, f64::max);
         let limit = limit.min(1.0).powf((best / density(held.class)).sqrt());
         m.failures < DROP_FAILURES && m.open.is_empty() && self.lot(held, m) < limit
@@ -520,7 +519,7 @@
     fn may_send(&self, held: &Held, m: &Member) -> bool {
         let in_time = self.now < held.ends && held.tried.len() < self.settings.limits.max_attempts as usize;
         let fresh = self.is_primary(m) || self.is_fresh(held, m);
-        let placed = !m.barred && m.group == held.group && self.cold_room(held, m);
+        let placed = !m.barred && m.group == held.group && (self.warmth(m) >= 1.0 || self.cold_room(held, m));
         placed && fresh && held.out.is_none() && in_time && self.may_repeat(held, Some(m))
     }
 
@@ -552,17 +551,17 @@
         let share = self.warmth(m) * self.settings.rules.fall_multiple * COLD_MARGIN;
         let others = || self.group_members(m.group).filter(|o| !o.barred);
         let up = others().filter(|o| o.failures == 0 && !o.silent).count() as f64 / 2.0;
-        let part = if self.is_write(held) { 1.0 } else { up.max(1.0) / others().count().max(1) as f64 };
+        let part = if self.is_write(held.class) { 1.0 } else { up.max(1.0) / others().count().max(1) as f64 };
         let work = self.services[held.class].base;
         let load = |m| load_left(m, self.now, self.settings.rules.fall_window);
         let warm = others().filter(|o| self.warmth(o) >= 1.0);
         let (count, sum) = warm.fold((0.0, 0.0), |(count, sum), o| (count + 1.0, sum + load(o)));
         let in_window = load(m) < work / 2.0 || load(m) + work <= sum / f64::max(count, 1.0) * share;
-        self.warmth(m) >= 1.0 || in_window && self.lot(held, m) < share * part
+        in_window && self.lot(held, m) < share * part
     }
 
-    fn is_write(&self, held: &Held) -> bool {
-        self.settings.classes[held.class].consistency == Consistency::Write
+    fn is_write(&self, class: usize) -> bool {
+        self.settings.classes[class].consistency == Consistency::Write
     }
 
     /// A number from 0 to 1 for this request at this member, the same whenever it is asked for.
@@ -598,12 +597,12 @@
         self.on_answer(ended, out);
         let id = ended.request;
         let Some(held) = self.held.get_mut(&id) else { return };
-        let write = self.settings.classes[held.class].consistency == Consistency::Write;
-        let group = held.group;
+        let (class, group) = (held.class, held.group);
         let ran = held.out.take().filter(|_| !ended.outcome.never_ran());
         held.risk = held.risk.or(ran.map(|sent| (sent, ended.member)));
         if ended.finished {
-            if let (true, Some(session), Some(commit)) = (write, held.session, ended.note.position) {
+            let marks = (held.session, ended.note.position);
+            if let (true, (Some(session), Some(commit))) = (self.is_write(class), marks) {
                 self.sessions.entry(session).and_modify(|seen| *seen = commit.max(*seen)).or_insert(commit);
             }
             self.held.remove(&id);
@@ -717,7 +716,7 @@
     /// Until answers come, a class is taken to need a quarter of its aim.
     fn new(aim: f64) -> Self {
         let mean = aim / 4.0;
-        Service { mean, base: mean, aim, budget: 0, votes: 0 }
+        Service { mean, base: mean, budget: 0, votes: 0 }
     }
 
     fn vote(&mut self, budget: Micros, slack: Micros) -> Micros {
@@ -739,7 +738,7 @@
     }
 
     /// Waiting that a member may add on average while the class's aim holds for nearly all.
-    fn spare(&self) -> f64 {
-        (SPARE_SHARE * (self.aim - 3.0 * self.base).max(self.base)).max(1.0)
+    fn spare(&self, aim: f64) -> f64 {
+        (SPARE_SHARE * (aim - 3.0 * self.base).max(self.base)).max(1.0)
     }
 }
