--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -8,9 +8,9 @@
     RequestId, Role, SessionId, Word, ZoneId,
 };
 use beaconshore::Router;
+use beaconshore_settings::{Dialect, ReportField, Site};
 
 use crate::frame::{Header, Reader, Reply};
-use crate::settings::{self, Dialect, ReportField};
 
 mod code {
     pub const SPAWN: u8 = 1;
@@ -88,7 +88,7 @@
             code::SPAWN => {
                 let seed = r.u64()?;
                 let length = r.u32()? as usize;
-                let (settings, dialect) = settings::parse(r.take(length)?)?;
+                let Site { settings, dialect } = Site::parse(r.take(length)?)?;
                 self.instances.insert(driver, Instance { router: Router::new(settings, seed, now), dialect });
                 return Ok(());
             }
--- a/crates/benchlink/src/host/tests.rs
+++ b/crates/benchlink/src/host/tests.rs
@@ -71,7 +71,7 @@
 }
 
 fn dialect() -> Dialect {
-    settings::parse(facts().as_bytes()).unwrap().1
+    Site::parse(facts().as_bytes()).unwrap().dialect
 }
 
 /// The fields of a record, without code, length and instance.
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -2,7 +2,6 @@
 
 mod frame;
 mod host;
-mod settings;
 
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
--- /dev/null
+++ b/crates/driver/src/config.rs
@@ -0,0 +1,74 @@
+//! What a driver is told at start: a few environment variables, and a JSON file that holds the rest.
+
+use std::net::SocketAddr;
+use std::{env, fs};
+
+use beaconshore_settings::Site;
+use serde::Deserialize;
+
+use crate::listing::Listing;
+
+/// The driver's configuration.
+#[derive(Debug, Deserialize)]
+pub struct Config {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// Seed for random numbers, in hexadecimal digits; new with each start.
+    #[serde(deserialize_with = "seed")]
+    pub seed: u64,
+    /// What the machine allows.
+    pub limits: Limits,
+    /// Where other drivers' datagrams come in.
+    #[serde(default)]
+    pub peer_listen: Option<SocketAddr>,
+    /// The drivers of the tier, this one included.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    /// An address that reaches all drivers of the tier.
+    #[serde(default)]
+    pub peers_all: Option<SocketAddr>,
+    /// The list of members as this driver last had it.
+    pub known: Listing,
+    /// The settings of the decision module, and what belongs to them.
+    pub settings: Site,
+}
+
+/// What the machine allows.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Limits {
+    /// File descriptors that the driver may hold.
+    pub sockets: usize,
+}
+
+impl Config {
+    /// Reads the file that `RELAY_CONFIG` names. `RELAY_NAME`, `RELAY_LISTEN` and `RELAY_DISCOVERY` prevail over
+    /// what it says of the same.
+    pub fn from_env() -> Result<Config, String> {
+        let variable = |name: &str| env::var(name).ok().filter(|value| !value.is_empty());
+        let path = variable("RELAY_CONFIG").ok_or("RELAY_CONFIG names no configuration file")?;
+        let text = fs::read(&path).map_err(|e| format!("configuration {path}: {e}"))?;
+        let mut config = Config::parse(&text).map_err(|e| format!("configuration {path}: {e}"))?;
+        let address = |name: &str| {
+            let parse = |value: String| value.parse().map_err(|e| format!("{name} is {value:?}: {e}"));
+            variable(name).map(parse).transpose()
+        };
+        config.name = variable("RELAY_NAME").unwrap_or(config.name);
+        config.listen = address("RELAY_LISTEN")?.unwrap_or(config.listen);
+        config.discovery = address("RELAY_DISCOVERY")?.unwrap_or(config.discovery);
+        Ok(config)
+    }
+
+    /// Reads a configuration from its JSON text.
+    pub fn parse(text: &[u8]) -> Result<Config, String> {
+        serde_json::from_slice(text).map_err(|e| e.to_string())
+    }
+}
+
+fn seed<'de, D: serde::Deserializer<'de>>(text: D) -> Result<u64, D::Error> {
+    let digits = String::deserialize(text)?;
+    u64::from_str_radix(&digits, 16).map_err(serde::de::Error::custom)
+}
--- /dev/null
+++ b/crates/driver/src/lib.rs
@@ -0,0 +1,90 @@
+//! A router for replicated stores on sockets: clients and members speak PostgreSQL's protocol, discovery
+//! HTTP, other drivers datagrams. All that is decided is decided by `beaconshore::Router`.
+//!
+//! Everything runs on one thread, as actors that share nothing but their mailboxes, the counters and the
+//! places for descriptors: one for each client's connection, for each member, for the list, for the peers, and
+//! for the module, which alone sees a request's whole life.
+
+pub mod buffer;
+pub mod client;
+pub mod clock;
+pub mod config;
+pub mod descriptors;
+pub mod discovery;
+pub mod http;
+pub mod listing;
+pub mod member;
+pub mod module;
+pub mod peers;
+pub mod pg;
+pub mod shutdown;
+pub mod stats;
+
+use std::cell::Cell;
+use std::future::Future;
+use std::net::{TcpListener, UdpSocket};
+use std::rc::Rc;
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use beaconshore_settings::Site;
+use log::info;
+
+pub use config::Config;
+
+use clock::Clock;
+use descriptors::Descriptors;
+use module::Module;
+use stats::Stats;
+
+/// What all actors of one driver have in common.
+pub struct Node {
+    executor: LocalExecutor<'static>,
+    clock: Clock,
+    site: Site,
+    descriptors: Descriptors,
+    stats: Stats,
+    requests: Cell<u64>,
+}
+
+impl Node {
+    /// Starts an actor that ends by itself.
+    fn spawn(&self, actor: impl Future<Output = ()> + 'static) {
+        self.executor.spawn(actor).detach();
+    }
+}
+
+/// Serves until `stop` is ready and all that was taken is answered.
+pub fn run(config: Config, stop: impl Future<Output = ()> + 'static) -> Result<(), String> {
+    let bound = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
+    let listener = TcpListener::bind(config.listen).map_err(bound("listening for clients"))?;
+    let listener = Async::new(listener).map_err(bound("listening for clients"))?;
+    let peer_address = config.peer_listen.filter(|_| config.settings.settings.limits.peer_messages);
+    let socket = peer_address.map(UdpSocket::bind).transpose().map_err(bound("listening for peers"))?;
+    let socket = socket.map(Async::new).transpose().map_err(bound("listening for peers"))?;
+
+    let node = Rc::new(Node {
+        executor: LocalExecutor::new(),
+        clock: Clock::start(),
+        site: config.settings.clone(),
+        descriptors: Descriptors::divide(config.limits.sockets),
+        stats: Stats::default(),
+        requests: Cell::new(0),
+    });
+    info!("{} listens at {}, {} members known", config.name, config.listen, config.known.instances.len());
+
+    let peers = socket.map(|socket| peers::start(&node, socket, &config));
+    let (module, handle) = Module::new(node.clone(), &config, peers.as_ref());
+    node.spawn(module.run(config.known));
+    peers.into_iter().for_each(|peers| node.spawn(peers.run(handle.clone())));
+    node.spawn(discovery::follow(node.clone(), config.discovery, handle.clone()));
+    let clients = client::Clients::new(node.clone(), handle);
+    node.spawn({
+        let node = node.clone();
+        async move { node.stats.report().await }
+    });
+    let serve = shutdown::serve(node.clone(), listener, clients, stop);
+    async_io::block_on(node.executor.run(serve));
+    info!("counts: {}", node.stats.line());
+    Ok(())
+}
--- /dev/null
+++ b/crates/driver/src/main.rs
@@ -0,0 +1,18 @@
+//! The driver as a program: see the library for what it does.
+
+use std::process::ExitCode;
+
+use beaconshore_driver::{run, shutdown, Config};
+use env_logger::Env;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(Env::default().default_filter_or("info")).init();
+    let done = Config::from_env().and_then(|config| run(config, shutdown::signalled()));
+    done.map_or_else(
+        |message| {
+            eprintln!("beaconshore: {message}");
+            ExitCode::from(2)
+        },
+        |()| ExitCode::SUCCESS,
+    )
+}
--- /dev/null
+++ b/crates/driver/src/member.rs
@@ -0,0 +1,483 @@
+//! Members: one actor for each, with its connections, its attempts and its probes.
+//!
+//! An attempt ends with the outcome that the protocol gives for what was seen, and its end is told only once
+//! it is off the wire. Nothing is sent again here.
+
+use std::collections::{HashMap, VecDeque};
+use std::future::Future;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_executor::Task;
+use async_io::{Async, Timer};
+use beaconshore::interface::{MemberId, Micros, Note, Outcome, Report, RequestId, Role};
+use beaconshore_settings::ReportField;
+use futures_lite::{future, AsyncWriteExt};
+
+use crate::buffer::Buffer;
+use crate::descriptors::{Permit, Turn};
+use crate::listing::{FOLLOWER, LEADER};
+use crate::module::{Mail, ModuleHandle, Statement};
+use crate::pg::{self, sqlstate, Backend};
+use crate::stats::Counter;
+use crate::Node;
+
+const PROBE_REPORT: &[u8] = b"SHOW server_load";
+const PROBE_ALIVE: &[u8] = b"SELECT 1";
+
+/// What reaches a member's actor.
+pub enum MemberMail {
+    /// Send a request.
+    Attempt(Attempt),
+    /// Give an attempt up: its client is gone.
+    Cancel(RequestId),
+    /// Probe the member.
+    Probe,
+    /// It listens here now.
+    Address(SocketAddr),
+    /// Close the connections that carry nothing.
+    CloseIdle,
+    /// Close the one that is idle for the longest.
+    CloseOldest,
+    /// An attempt is off the wire; its connection comes back if it can be used again.
+    Ended(AttemptEnd, Option<Connection>),
+    /// So is a probe.
+    Probed(Outcome, Report, Option<Connection>),
+}
+
+/// A request to be sent.
+pub struct Attempt {
+    /// Which request.
+    pub request: RequestId,
+    /// What is sent.
+    pub statement: Rc<Statement>,
+    /// When its client gives up.
+    pub ends: Micros,
+    /// When it was decided.
+    pub sent: Micros,
+}
+
+/// The end of an attempt.
+pub struct AttemptEnd {
+    /// Which request.
+    pub request: RequestId,
+    /// At which member.
+    pub member: MemberId,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// The messages for the client, if it was served.
+    pub answer: Vec<u8>,
+    /// What the member said of itself.
+    pub told: Told,
+    /// Time since it was decided.
+    pub took: Micros,
+}
+
+/// What a member said of itself.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Told {
+    /// With the answer.
+    pub note: Note,
+    /// In a load report.
+    pub report: Report,
+}
+
+impl Told {
+    /// Takes a value that the member told; junk and other names are passed over.
+    fn take(&mut self, name: &[u8], value: &[u8]) {
+        let Ok(value) = std::str::from_utf8(value) else { return };
+        match name {
+            b"replay_position" => {
+                self.note.position = value.parse::<Micros>().ok().and_then(|ms| ms.checked_mul(1000))
+            }
+            b"node_role" if value == LEADER => self.note.role = Some(Role::Primary),
+            b"node_role" if value == FOLLOWER => self.note.role = Some(Role::Replica),
+            b"server_load" => self.report = report(value),
+            _ => {}
+        }
+    }
+
+    /// What a probe learnt: a note counts as a report, which speaks of the time of its position.
+    fn as_report(&self) -> Report {
+        let position = self.report.position.max(self.note.position);
+        Report { position, role: self.note.role.or(self.report.role), ..self.report }
+    }
+}
+
+/// A load report, as `name=value,...`.
+fn report(text: &str) -> Report {
+    let mut report = Report::default();
+    for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
+        let millionths = pg::micro_units(value.trim());
+        match ReportField::named(name.trim()) {
+            // Seconds of Unix time.
+            ReportField::Position => report.position = millionths.filter(|&p| p > 0),
+            ReportField::Role => {
+                report.role = millionths.map(|r| if r == 1_000_000 { Role::Primary } else { Role::Replica });
+            }
+            ReportField::Utilization => report.utilization = millionths.map(|u| u as f64 / 1e6),
+            ReportField::Backlog => report.backlog = millionths.map(|b| b as f64 / 1e6),
+            ReportField::Other => {}
+        }
+    }
+    report
+}
+
+/// A connection to a member that is up.
+pub struct Connection {
+    stream: Async<TcpStream>,
+    buffer: Buffer,
+    address: SocketAddr,
+    told: Told,
+    _place: Permit,
+}
+
+struct Idle {
+    connection: Connection,
+    since: Instant,
+    turn: Turn,
+}
+
+/// The actor of one member.
+pub struct Member {
+    node: Rc<Node>,
+    module: ModuleHandle,
+    id: MemberId,
+    address: SocketAddr,
+    mailbox: Receiver<MemberMail>,
+    /// For those that report to this actor.
+    sender: Sender<MemberMail>,
+    /// The longest idle first.
+    idle: VecDeque<Idle>,
+    running: HashMap<RequestId, Task<()>>,
+}
+
+impl Member {
+    /// Starts the actor of a member; this is the way to its mailbox.
+    pub fn start(
+        node: &Rc<Node>,
+        module: &ModuleHandle,
+        id: MemberId,
+        address: SocketAddr,
+    ) -> Sender<MemberMail> {
+        // Its mail belongs to open requests, to a probe, and to connections: their places bound it.
+        let (sender, mailbox) = async_channel::unbounded();
+        let (idle, running) = Default::default();
+        let (node, module) = (node.clone(), module.clone());
+        let member = Member { node, module, id, address, mailbox, sender: sender.clone(), idle, running };
+        member.node.clone().spawn(member.run());
+        sender
+    }
+
+    async fn run(mut self) {
+        loop {
+            let fresh_for = Duration::from_micros(self.node.site.dialect.conn_idle).mul_f64(0.9);
+            while self.idle.front().is_some_and(|idle| idle.since.elapsed() >= fresh_for) {
+                self.close_oldest();
+            }
+            let expiry = self.idle.front().map(|idle| idle.since + fresh_for);
+            let mail = within(expiry, self.mailbox.recv()).await;
+            match mail {
+                None => {}
+                Some(Err(_)) => return,
+                Some(Ok(MemberMail::Attempt(attempt))) => self.attempt(attempt),
+                Some(Ok(MemberMail::Cancel(request))) => self.cancel(request).await,
+                Some(Ok(MemberMail::Probe)) => self.probe(),
+                Some(Ok(MemberMail::Address(address))) => {
+                    self.address = address;
+                    self.close_idle();
+                }
+                Some(Ok(MemberMail::CloseIdle)) => self.close_idle(),
+                Some(Ok(MemberMail::CloseOldest)) => self.close_oldest(),
+                Some(Ok(MemberMail::Ended(end, connection))) => {
+                    self.running.remove(&end.request);
+                    self.rest(connection);
+                    self.module.send(Mail::AttemptEnded(Box::new(end)));
+                }
+                Some(Ok(MemberMail::Probed(outcome, report, connection))) => {
+                    self.rest(connection);
+                    self.module.send(Mail::ProbeEnded(self.id, outcome, report));
+                }
+            }
+        }
+    }
+
+    fn attempt(&mut self, attempt: Attempt) {
+        self.node.stats.count(Counter::Attempts);
+        let (node, id, address, sender) = (self.node.clone(), self.id, self.address, self.sender.clone());
+        let (idle, request) = (self.take_idle(), attempt.request);
+        let task = self.node.executor.spawn(async move {
+            let (reply, connection) = carry(&node, address, idle, &attempt).await;
+            let took = node.clock.now().saturating_sub(attempt.sent);
+            let Reply { outcome, answer, told } = reply;
+            let end = AttemptEnd { request, member: id, outcome, answer, told, took };
+            let _ = sender.try_send(MemberMail::Ended(end, connection));
+        });
+        let earlier = self.running.insert(request, task);
+        self.node.stats.check(earlier.is_none(), "a request has one attempt out");
+    }
+
+    /// Ends an attempt by closing its connection, unless it has just ended by itself.
+    async fn cancel(&mut self, request: RequestId) {
+        let Some(task) = self.running.remove(&request) else { return };
+        if task.cancel().await.is_none() {
+            let (answer, told) = Default::default();
+            let end =
+                AttemptEnd { request, member: self.id, outcome: Outcome::Cancelled, answer, told, took: 0 };
+            self.module.send(Mail::AttemptEnded(Box::new(end)));
+        }
+    }
+
+    fn probe(&mut self) {
+        self.node.stats.count(Counter::Probes);
+        let (node, address, sender) = (self.node.clone(), self.address, self.sender.clone());
+        let idle = self.take_idle();
+        self.node.spawn(async move {
+            let (outcome, report, connection) = probe(&node, address, idle).await;
+            let _ = sender.try_send(MemberMail::Probed(outcome, report, connection));
+        });
+    }
+
+    /// The connection used last that is still open and quiet.
+    fn take_idle(&mut self) -> Option<Connection> {
+        while let Some(idle) = self.idle.pop_back() {
+            self.node.descriptors.members.wake(idle.turn);
+            let quiet = idle.connection.stream.get_ref().peek(&mut [0]);
+            if quiet.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock) {
+                self.node.stats.count(Counter::Reused);
+                return Some(idle.connection);
+            }
+        }
+        None
+    }
+
+    fn rest(&mut self, connection: Option<Connection>) {
+        let Some(connection) = connection.filter(|c| c.address == self.address) else { return };
+        let sender = self.sender.clone();
+        let close = move || drop(sender.try_send(MemberMail::CloseOldest));
+        let turn = self.node.descriptors.members.rest(close);
+        self.idle.push_back(Idle { connection, since: Instant::now(), turn });
+    }
+
+    fn close_oldest(&mut self) {
+        let oldest = self.idle.pop_front();
+        oldest.into_iter().for_each(|idle| self.node.descriptors.members.wake(idle.turn));
+    }
+
+    fn close_idle(&mut self) {
+        while !self.idle.is_empty() {
+            self.close_oldest();
+        }
+    }
+}
+
+/// The future's value, or none once the time has come.
+async fn within<T>(at: Option<Instant>, future: impl Future<Output = T>) -> Option<T> {
+    let Some(at) = at else { return Some(future.await) };
+    let late = async {
+        Timer::at(at).await;
+        None
+    };
+    future::or(async { Some(future.await) }, late).await
+}
+
+/// What came of a statement.
+struct Reply {
+    outcome: Outcome,
+    answer: Vec<u8>,
+    told: Told,
+}
+
+impl Reply {
+    fn without_answer(outcome: Outcome) -> Self {
+        Reply { outcome, answer: Vec::new(), told: Told::default() }
+    }
+}
+
+/// Carries an attempt from its connection to its outcome.
+async fn carry(
+    node: &Node,
+    address: SocketAddr,
+    idle: Option<Connection>,
+    attempt: &Attempt,
+) -> (Reply, Option<Connection>) {
+    let ends = node.clock.instant(attempt.ends);
+    let mut connection = match idle {
+        Some(connection) => connection,
+        None => match within(Some(ends), open(node, address)).await {
+            Some(Ok(connection)) => connection,
+            Some(Err(outcome)) => return (Reply::without_answer(outcome), None),
+            // Its own time ran out: that says nothing of the member.
+            None => return (Reply::without_answer(Outcome::Moot), None),
+        },
+    };
+    let wait_ms = attempt.ends.saturating_sub(node.clock.now()) / 1000;
+    if wait_ms == 0 {
+        return (Reply::without_answer(Outcome::Moot), Some(connection));
+    }
+    let query = attempt.statement.query(wait_ms);
+    match within(Some(ends), connection.stream.write_all(&query)).await {
+        Some(Ok(())) => {}
+        Some(Err(_)) => return (Reply::without_answer(Outcome::Unreachable), None),
+        None => return (Reply::without_answer(Outcome::Moot), None),
+    }
+    drop(query);
+    match within(Some(ends), connection.reply()).await {
+        Some((reply, true)) => (reply, Some(connection)),
+        Some((reply, false)) => (reply, None),
+        None => (Reply::without_answer(Outcome::TimedOut), None),
+    }
+}
+
+/// Probes a member, within the time that a connection may take to come up.
+async fn probe(
+    node: &Node,
+    address: SocketAddr,
+    idle: Option<Connection>,
+) -> (Outcome, Report, Option<Connection>) {
+    let dialect = &node.site.dialect;
+    let limit = Instant::now() + Duration::from_micros(dialect.connect_timeout);
+    let probe = async {
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => open(node, address).await?,
+        };
+        let mut query = Vec::new();
+        pg::put_query(&mut query, &[if dialect.report.is_empty() { PROBE_ALIVE } else { PROBE_REPORT }]);
+        connection.stream.write_all(&query).await.map_err(|_| Outcome::Unreachable)?;
+        let (reply, reusable) = connection.reply().await;
+        let mut told = reply.told;
+        if let Some(value) = pg::single_value(&reply.answer).filter(|_| !dialect.report.is_empty()) {
+            told.take(b"server_load", value);
+        }
+        Ok((reply.outcome, told.as_report(), reusable.then_some(connection)))
+    };
+    match within(Some(limit), probe).await {
+        Some(Ok(end)) => end,
+        Some(Err(outcome)) => (outcome, Report::default(), None),
+        None => (Outcome::TimedOut, Report::default(), None),
+    }
+}
+
+/// Opens a connection, up to the member's welcome; the outcome otherwise.
+async fn open(node: &Node, address: SocketAddr) -> Result<Connection, Outcome> {
+    let limit = Instant::now() + Duration::from_micros(node.site.dialect.connect_timeout);
+    let open = async {
+        let place = node.descriptors.members.take().await;
+        node.stats.count(Counter::Connects);
+        let stream = Async::<TcpStream>::connect(address).await.map_err(|_| Outcome::Unreachable)?;
+        let _ = stream.get_ref().set_nodelay(true);
+        let (buffer, told) = Default::default();
+        let mut connection = Connection { stream, buffer, address, told, _place: place };
+        let mut startup = Vec::new();
+        pg::put_startup(&mut startup);
+        connection.stream.write_all(&startup).await.map_err(|_| Outcome::Unreachable)?;
+        connection.welcome().await.map(|()| connection)
+    };
+    within(Some(limit), open).await.unwrap_or(Err(Outcome::Unreachable))
+}
+
+impl Connection {
+    /// Reads the member's welcome, up to its first ReadyForQuery.
+    async fn welcome(&mut self) -> Result<(), Outcome> {
+        loop {
+            while let Some((message, length)) =
+                pg::backend(self.buffer.filled()).map_err(|_| Outcome::Unreachable)?
+            {
+                let ready = match message {
+                    Backend::Error(code) => {
+                        let full = code == sqlstate::TOO_MANY_CONNECTIONS.as_bytes();
+                        return Err(if full { Outcome::Full } else { Outcome::Unreachable });
+                    }
+                    Backend::Authentication(1..) => return Err(Outcome::Unreachable),
+                    Backend::ParameterStatus(name, value) => {
+                        self.told.take(name, value);
+                        false
+                    }
+                    message => message == Backend::Ready,
+                };
+                self.buffer.consume(length);
+                if ready {
+                    return Ok(());
+                }
+            }
+            if self.buffer.fill(&mut self.stream).await.map_or(true, |count| count == 0) {
+                return Err(Outcome::Unreachable);
+            }
+        }
+    }
+
+    /// Reads the answer to a statement that was written whole; tells also whether the connection can be used again.
+    async fn reply(&mut self) -> (Reply, bool) {
+        let mut answer = Vec::new();
+        // What stands in for the outcome until the statement's end has come.
+        let mut outcome = Outcome::Reset;
+        let mut row = RowState::Nothing;
+        loop {
+            loop {
+                let bytes = self.buffer.filled();
+                let (message, length) = match pg::backend(bytes) {
+                    Ok(Some(parsed)) => parsed,
+                    Ok(None) => break,
+                    Err(_) => return (Reply { outcome: Outcome::Reset, answer, told: self.told }, false),
+                };
+                let mut ready = false;
+                match message {
+                    Backend::ParameterStatus(name, value) => self.told.take(name, value),
+                    Backend::Error(code) => outcome = outcome_of(code),
+                    Backend::RowDescription(1) => row = row.next(RowState::Nothing, RowState::Described),
+                    Backend::DataRow(Some(_)) => row = row.next(RowState::Described, RowState::Given),
+                    Backend::RowDescription(_) | Backend::DataRow(None) => row = RowState::Unfit,
+                    Backend::CommandComplete if row == RowState::Given => outcome = Outcome::Served,
+                    Backend::CommandComplete => outcome = Outcome::Error,
+                    Backend::Ready => ready = true,
+                    Backend::Authentication(_) | Backend::Other => {}
+                }
+                let passed_on = Backend::CommandComplete == message
+                    || matches!(message, Backend::RowDescription(_) | Backend::DataRow(_));
+                if passed_on && answer.len() + length <= 2 * pg::MAX_ANSWER {
+                    answer.extend_from_slice(&bytes[..length]);
+                }
+                self.buffer.consume(length);
+                if ready {
+                    return (Reply { outcome, answer, told: self.told }, true);
+                }
+            }
+            // After a fatal error, or with all but the last message there, what has come is the outcome.
+            if self.buffer.fill(&mut self.stream).await.map_or(true, |count| count == 0) {
+                return (Reply { outcome, answer, told: self.told }, false);
+            }
+        }
+    }
+}
+
+/// How far an answer's row has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RowState {
+    Nothing,
+    Described,
+    Given,
+    Unfit,
+}
+
+impl RowState {
+    fn next(self, from: RowState, to: RowState) -> RowState {
+        if self == from {
+            to
+        } else {
+            RowState::Unfit
+        }
+    }
+}
+
+/// The outcome that a member's error stands for.
+fn outcome_of(code: &[u8]) -> Outcome {
+    match std::str::from_utf8(code) {
+        Ok(sqlstate::READ_ONLY | sqlstate::SNAPSHOT_TOO_OLD) => Outcome::Misplaced,
+        Ok(sqlstate::TOO_MANY_CONNECTIONS) => Outcome::Full,
+        _ => Outcome::Error,
+    }
+}
--- /dev/null
+++ b/crates/driver/src/module.rs
@@ -0,0 +1,383 @@
+//! The module's actor: it owns the decision module and the table of open requests. Here alone messages become
+//! events and actions become messages.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::rc::Rc;
+use std::time::Instant;
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use beaconshore::interface::{
+    Action, Ended, Entry, Event, GroupId, ListKind, Listed, MemberId, Micros, Outcome, Report, Request,
+    RequestId, SessionId, Word, ZoneId,
+};
+use beaconshore::Router;
+use futures_lite::future;
+use log::{info, warn};
+
+use crate::client::{Answer, ClientMail};
+use crate::config::Config;
+use crate::listing::{Instance, Lifecycle, Listing, LEADER};
+use crate::member::{Attempt, AttemptEnd, Member, MemberMail};
+use crate::peers::{self, PeerWord, Peers};
+use crate::pg;
+use crate::stats::Counter;
+use crate::Node;
+
+/// Lists that may wait; discovery waits with more, the module never waits for discovery.
+const LISTS: usize = 4;
+/// Overdue requests are looked for at every so many timers.
+const SWEEP: Micros = 100_000;
+/// An answer owed for this long after its time is overdue.
+const OVERDUE: Micros = 20_000;
+
+/// What reaches the module.
+pub enum Mail {
+    /// A request.
+    Request(Box<Arrival>),
+    /// The client of a request is gone.
+    HungUp(RequestId),
+    /// The end of an attempt.
+    AttemptEnded(Box<AttemptEnd>),
+    /// The end of a probe.
+    ProbeEnded(MemberId, Outcome, Report),
+    /// What another driver heard from members.
+    Told(Vec<PeerWord>),
+}
+
+/// A request as its client's actor read it.
+pub struct Arrival {
+    /// Its id here.
+    pub id: RequestId,
+    /// Index of its class.
+    pub class: usize,
+    /// The group it names.
+    pub group: u32,
+    /// Its session, if its class has any.
+    pub session: Option<SessionId>,
+    /// When its client gives up.
+    pub ends: Micros,
+    /// Whether the client asked before.
+    pub repeat: bool,
+    /// Position that it must see, in milliseconds.
+    pub after: Option<u64>,
+    /// What a member is to be sent.
+    pub statement: Rc<Statement>,
+    /// Where the answer goes.
+    pub client: Sender<ClientMail>,
+}
+
+/// A client's statement, which goes on unchanged but for the time that it may take.
+pub struct Statement {
+    /// The whole text.
+    pub text: Box<[u8]>,
+    /// Where it holds that time.
+    pub wait_at: Range<usize>,
+}
+
+impl Statement {
+    /// The query to send with so many milliseconds left.
+    pub fn query(&self, wait_ms: u64) -> Vec<u8> {
+        let mut query = Vec::with_capacity(self.text.len() + 32);
+        let (before, after) = (&self.text[..self.wait_at.start], &self.text[self.wait_at.end..]);
+        pg::put_query(&mut query, &[before, wait_ms.to_string().as_bytes(), after]);
+        query
+    }
+}
+
+/// The way to the module's mailboxes.
+#[derive(Clone)]
+pub struct ModuleHandle {
+    mail: Sender<Mail>,
+    lists: Sender<Listing>,
+}
+
+impl ModuleHandle {
+    /// Sends what belongs to an open request, an attempt or a probe: these bound the mailbox.
+    pub fn send(&self, mail: Mail) {
+        let _ = self.mail.try_send(mail);
+    }
+
+    /// Sends the list, which is handled before all other mail.
+    pub async fn list(&self, listing: Listing) {
+        let _ = self.lists.send(listing).await;
+    }
+}
+
+struct Open {
+    client: Sender<ClientMail>,
+    statement: Rc<Statement>,
+    ends: Micros,
+    /// Where the attempt is that is out.
+    out: Option<MemberId>,
+}
+
+struct Known {
+    name: String,
+    address: SocketAddr,
+    /// Its actor, once there was mail for it.
+    actor: Option<Sender<MemberMail>>,
+}
+
+/// The module's actor.
+pub struct Module {
+    node: Rc<Node>,
+    router: Router,
+    mail: Receiver<Mail>,
+    lists: Receiver<Listing>,
+    handle: ModuleHandle,
+    peers: Option<Sender<Vec<PeerWord>>>,
+    open: HashMap<RequestId, Open>,
+    /// Members by their ids here, in the order in which they were first listed.
+    members: Vec<Known>,
+    ids: HashMap<String, MemberId>,
+    due: Option<Instant>,
+    swept: Micros,
+}
+
+impl Module {
+    /// The actor, and the way to it.
+    pub fn new(node: Rc<Node>, config: &Config, peers: Option<&Peers>) -> (Self, ModuleHandle) {
+        let (mail_sender, mail) = async_channel::unbounded();
+        let (list_sender, lists) = async_channel::bounded(LISTS);
+        let handle = ModuleHandle { mail: mail_sender, lists: list_sender };
+        let router = Router::new(node.site.settings.clone(), config.seed, node.clock.now());
+        let (open, members, ids, due, swept) = Default::default();
+        let (peers, given) = (peers.map(Peers::mailbox), handle.clone());
+        let module = Module { node, router, mail, lists, handle, peers, open, members, ids, due, swept };
+        (module, given)
+    }
+
+    /// Starts from the list last known, and handles all that comes.
+    pub async fn run(mut self, known: Listing) {
+        enum Next {
+            List(Listing),
+            Mail(Mail),
+            Timer,
+        }
+        self.on_list(ListKind::Cached, known);
+        let (mail, lists) = (self.mail.clone(), self.lists.clone());
+        let mut timer = Timer::never();
+        let mut set = None;
+        loop {
+            if set != self.due {
+                set = self.due;
+                match set {
+                    Some(at) => timer.set_at(at),
+                    None => timer = Timer::never(),
+                }
+            }
+            let list = async { lists.recv().await.map(Next::List) };
+            let due = async {
+                (&mut timer).await;
+                Ok(Next::Timer)
+            };
+            // What binds goes first; a timer that is due is not to wait for an empty mailbox.
+            let next = future::or(list, future::or(due, async { mail.recv().await.map(Next::Mail) })).await;
+            match next {
+                Err(_) => return,
+                Ok(Next::List(listing)) => {
+                    let kind = if listing.reset { ListKind::Full } else { ListKind::Delta };
+                    self.on_list(kind, listing);
+                }
+                Ok(Next::Mail(mail)) => self.on_mail(mail),
+                Ok(Next::Timer) => {
+                    (self.due, set) = (None, None);
+                    self.handle(&Event::Timer);
+                    self.sweep();
+                }
+            }
+        }
+    }
+
+    fn on_mail(&mut self, mail: Mail) {
+        match mail {
+            Mail::Request(arrival) => self.on_request(*arrival),
+            Mail::HungUp(id) => self.on_hang_up(id),
+            Mail::AttemptEnded(end) => self.on_end(*end),
+            Mail::ProbeEnded(member, outcome, report) => {
+                self.handle(&Event::ProbeEnded { member, outcome, report });
+            }
+            Mail::Told(words) => {
+                let words: Vec<Word> = words.iter().filter_map(|w| self.word(w)).collect();
+                self.handle(&Event::Told(words));
+            }
+        }
+    }
+
+    // ---- Messages to events ----
+
+    fn on_list(&mut self, kind: ListKind, listing: Listing) {
+        self.node.stats.count(Counter::Lists);
+        let entries: Vec<Entry> = listing.instances.into_iter().map(|i| self.entry(i)).collect();
+        self.handle(&Event::List(kind, &entries));
+    }
+
+    fn entry(&mut self, instance: Instance) -> Entry {
+        let address = instance.host_port;
+        let member = match self.ids.get(&instance.instance_id) {
+            Some(&id) => id,
+            None => {
+                let id = MemberId(self.members.len() as u32);
+                self.ids.insert(instance.instance_id.clone(), id);
+                self.members.push(Known { name: instance.instance_id, address, actor: None });
+                id
+            }
+        };
+        let known = &mut self.members[member.0 as usize];
+        if known.address != address {
+            known.address = address;
+            known.actor.iter().for_each(|actor| drop(actor.try_send(MemberMail::Address(address))));
+        }
+        let zone = self.node.site.dialect.zones.iter().position(|name| *name == instance.zone);
+        Entry {
+            member,
+            group: GroupId(instance.cell),
+            zone: ZoneId(zone.map_or(u16::MAX, |index| index as u16)),
+            listed: match instance.lifecycle {
+                Lifecycle::Ready => Listed::Ready,
+                Lifecycle::Draining => Listed::Draining,
+                Lifecycle::Gone => Listed::Gone,
+            },
+            started: Some(instance.started_at_ms.saturating_mul(1000)).filter(|&at| at > 0),
+            primary: instance.role.as_deref() == Some(LEADER),
+        }
+    }
+
+    fn on_request(&mut self, arrival: Arrival) {
+        let now = self.node.clock.now();
+        let Arrival { id, class, session, ends, repeat, statement, client, .. } = arrival;
+        let request = Request {
+            id,
+            class,
+            group: GroupId(arrival.group),
+            session,
+            budget: ends.saturating_sub(now),
+            repeat,
+            last_write_ago: arrival.after.map(|ms| now.saturating_sub(ms.saturating_mul(1000))),
+        };
+        let earlier = self.open.insert(id, Open { client, statement, ends, out: None });
+        self.node.stats.check(earlier.is_none(), "a request is taken once");
+        self.handle_at(now, &Event::Request(request));
+    }
+
+    fn on_hang_up(&mut self, id: RequestId) {
+        // Its answer may have been on the way.
+        let Some(open) = self.open.remove(&id) else { return };
+        self.node.stats.count(Counter::HungUp);
+        if let Some(member) = open.out {
+            self.mail_member(member, MemberMail::Cancel(id));
+        }
+        self.handle(&Event::HungUp(id));
+    }
+
+    fn on_end(&mut self, end: AttemptEnd) {
+        let AttemptEnd { request, member, outcome, answer, told, took } = end;
+        if let Some(open) = self.open.get_mut(&request) {
+            let was_out = open.out.take();
+            self.node.stats.check(was_out == Some(member), "an attempt that ends was out");
+        }
+        if outcome == Outcome::Served {
+            self.answer(request, Answer::Served(answer));
+        }
+        let finished = !self.open.contains_key(&request);
+        let (note, report) = (told.note, told.report);
+        self.handle(&Event::AttemptEnded(Ended { request, member, outcome, note, took, finished, report }));
+    }
+
+    /// What a peer said, if it is plain of which member.
+    fn word(&self, word: &PeerWord) -> Option<Word> {
+        let mut named = self.members.iter().enumerate().filter(|(_, m)| peers::tag(&m.name) == word.tag);
+        let (index, _) = named.next().filter(|_| named.next().is_none())?;
+        Some(Word { member: MemberId(index as u32), position: word.position, role: word.role })
+    }
+
+    // ---- Actions to messages ----
+
+    fn handle(&mut self, event: &Event) {
+        self.handle_at(self.node.clock.now(), event);
+    }
+
+    fn handle_at(&mut self, now: Micros, event: &Event) {
+        let mut actions = Vec::new();
+        self.router.handle(now, event, &mut actions);
+        actions.into_iter().for_each(|action| self.perform(now, action));
+    }
+
+    fn perform(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send { request, member, .. } => self.send(now, request, member),
+            Action::Refuse { request, retry_after } => self.answer(request, Answer::Refused(retry_after)),
+            Action::Fail(request) => self.answer(request, Answer::Failed),
+            Action::CloseIdle(member) => self.mail_member(member, MemberMail::CloseIdle),
+            Action::Probe(member) => self.mail_member(member, MemberMail::Probe),
+            Action::Tell(words) => self.tell(&words),
+            Action::SetTimer(after) => self.due = Some(self.node.clock.instant(now + after)),
+            // The watch is always on.
+            Action::Subscribe => {}
+            Action::Log(line) => info!("{line}"),
+        }
+    }
+
+    fn send(&mut self, now: Micros, request: RequestId, member: MemberId) {
+        let Some(open) = self.open.get_mut(&request) else {
+            return self.node.stats.check(false, "what is sent is open");
+        };
+        self.node.stats.check(open.out.is_none(), "a request has one attempt out");
+        open.out = Some(member);
+        let attempt = Attempt { request, statement: open.statement.clone(), ends: open.ends, sent: now };
+        self.mail_member(member, MemberMail::Attempt(attempt));
+    }
+
+    fn answer(&mut self, request: RequestId, answer: Answer) {
+        // A hang-up may have crossed an answer.
+        let Some(open) = self.open.remove(&request) else { return };
+        let stats = &self.node.stats;
+        stats.check(open.out.is_none(), "no attempt is out when its request is answered");
+        stats.count(match answer {
+            Answer::Served(_) => Counter::Served,
+            Answer::Refused(_) => Counter::Refused,
+            Answer::Failed => Counter::Failed,
+        });
+        let _ = open.client.try_send(ClientMail::Answer(request, answer));
+    }
+
+    fn mail_member(&mut self, member: MemberId, mail: MemberMail) {
+        let Some(known) = self.members.get_mut(member.0 as usize) else {
+            return self.node.stats.check(false, "a member that gets mail was listed");
+        };
+        let start = || Member::start(&self.node, &self.handle, member, known.address);
+        let _ = known.actor.get_or_insert_with(start).try_send(mail);
+    }
+
+    fn tell(&mut self, words: &[Word]) {
+        let Some(peers) = &self.peers else { return };
+        let named = words.iter().filter_map(|w| Some((w, self.members.get(w.member.0 as usize)?)));
+        let words = named.map(|(w, known)| PeerWord {
+            tag: peers::tag(&known.name),
+            position: w.position,
+            role: w.role,
+        });
+        if peers.try_send(words.collect()).is_err() {
+            self.node.stats.count(Counter::Dropped);
+        }
+    }
+
+    /// The module answers every request before its time; should it ever fail to, the client is still told.
+    fn sweep(&mut self) {
+        let now = self.node.clock.now();
+        if now < self.swept + SWEEP {
+            return;
+        }
+        self.swept = now;
+        let late = self.open.iter().filter(|(_, open)| open.out.is_none() && now > open.ends + OVERDUE);
+        for id in late.map(|(id, _)| *id).collect::<Vec<_>>() {
+            warn!("request {} was not decided in time", id.0);
+            self.node.stats.check(false, "every request is answered in time");
+            self.handle_at(now, &Event::HungUp(id));
+            self.answer(id, Answer::Failed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/driver/src/peers.rs
@@ -0,0 +1,148 @@
+//! Datagrams between drivers: what members said of their positions and roles.
+//!
+//! A datagram holds a version, a base time (Unix ms, 6 bytes), and words of 8 bytes: the tag of a member's name,
+//! then how many milliseconds its position is before the base, times 4, plus its role. What does not read as
+//! such, or does not come from a peer, is dropped whole.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+
+use async_channel::{Receiver, Sender};
+use async_io::Async;
+use beaconshore::interface::{Micros, Role};
+use futures_lite::future;
+
+use crate::config::Config;
+use crate::module::{Mail, ModuleHandle};
+use crate::stats::Counter;
+use crate::Node;
+
+/// Longest datagram.
+const MAX_DATAGRAM: usize = 256;
+const VERSION: u8 = 1;
+const HEADER: usize = 7;
+const WORD: usize = 8;
+/// Lists of words that may wait to be sent; further ones are dropped, as datagrams may be.
+const MAILBOX: usize = 16;
+
+/// What one driver tells another of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerWord {
+    /// Names the member among all drivers.
+    pub tag: u32,
+    /// Position that it had reached.
+    pub position: Micros,
+    /// The role that it named.
+    pub role: Option<Role>,
+}
+
+/// The tag of a member's name (FNV-1a).
+pub fn tag(name: &str) -> u32 {
+    name.bytes().fold(0x811c_9dc5, |hash, b| (hash ^ u32::from(b)).wrapping_mul(0x0100_0193))
+}
+
+/// Writes words to datagrams.
+pub fn encode(words: &[PeerWord]) -> Vec<Vec<u8>> {
+    let datagram = |words: &[PeerWord]| {
+        let base = words.iter().map(|w| w.position / 1000).max().unwrap_or(0);
+        let mut bytes = vec![VERSION];
+        bytes.extend_from_slice(&base.to_be_bytes()[2..]);
+        for word in words {
+            let before = (base - word.position / 1000).min(u64::from(u32::MAX >> 2)) as u32;
+            let role = match word.role {
+                None => 0,
+                Some(Role::Primary) => 1,
+                Some(Role::Replica) => 2,
+            };
+            bytes.extend_from_slice(&word.tag.to_be_bytes());
+            bytes.extend_from_slice(&(before << 2 | role).to_be_bytes());
+        }
+        bytes
+    };
+    words.chunks((MAX_DATAGRAM - HEADER) / WORD).map(datagram).collect()
+}
+
+/// Reads a datagram; none if any of it is malformed.
+pub fn decode(bytes: &[u8]) -> Option<Vec<PeerWord>> {
+    let (&version, rest) = bytes.split_first()?;
+    let (base, words) = rest.split_at_checked(HEADER - 1)?;
+    if version != VERSION || bytes.len() > MAX_DATAGRAM || words.len() % WORD != 0 {
+        return None;
+    }
+    let base = base.iter().fold(0, |sum, &b| sum << 8 | Micros::from(b));
+    let read = |word: &[u8]| {
+        let (tag, said) = (u32::from_be_bytes(*word.first_chunk()?), u32::from_be_bytes(*word.last_chunk()?));
+        let role = match said & 3 {
+            0 => None,
+            1 => Some(Role::Primary),
+            2 => Some(Role::Replica),
+            _ => return None,
+        };
+        let position = base.checked_sub(Micros::from(said >> 2))?.checked_mul(1000)?;
+        Some(PeerWord { tag, position, role })
+    };
+    words.chunks_exact(WORD).map(read).collect()
+}
+
+/// The actor of all peers.
+pub struct Peers {
+    node: Rc<Node>,
+    socket: Async<UdpSocket>,
+    own: Option<SocketAddr>,
+    others: Vec<SocketAddr>,
+    all: Option<SocketAddr>,
+    sender: Sender<Vec<PeerWord>>,
+    mailbox: Receiver<Vec<PeerWord>>,
+}
+
+/// The actor, not yet running.
+pub fn start(node: &Rc<Node>, socket: Async<UdpSocket>, config: &Config) -> Peers {
+    let (sender, mailbox) = async_channel::bounded(MAILBOX);
+    let own = config.peer_listen;
+    let others = config.peers.iter().copied().filter(|&peer| Some(peer) != own).collect();
+    Peers { node: node.clone(), socket, own, others, all: config.peers_all, sender, mailbox }
+}
+
+impl Peers {
+    /// The way to its mailbox.
+    pub fn mailbox(&self) -> Sender<Vec<PeerWord>> {
+        self.sender.clone()
+    }
+
+    /// Sends and receives.
+    pub async fn run(self, module: ModuleHandle) {
+        future::or(self.send(), self.receive(module)).await;
+    }
+
+    async fn send(&self) {
+        while let Ok(words) = self.mailbox.recv().await {
+            for datagram in encode(&words) {
+                self.node.stats.check(datagram.len() <= MAX_DATAGRAM, "a datagram keeps its bound");
+                let to = self.all.as_ref().map_or(&self.others[..], std::slice::from_ref);
+                for &peer in to {
+                    // Datagrams may be lost.
+                    let _ = self.socket.send_to(&datagram, peer).await;
+                    self.node.stats.count(Counter::Told);
+                }
+            }
+        }
+    }
+
+    async fn receive(&self, module: ModuleHandle) {
+        let mut bytes = [0; MAX_DATAGRAM + 1];
+        loop {
+            // An error tells of an earlier datagram that reached no one.
+            let Ok((length, from)) = self.socket.recv_from(&mut bytes).await else { continue };
+            if Some(from) == self.own {
+                continue;
+            }
+            match decode(&bytes[..length]).filter(|_| self.others.contains(&from)) {
+                Some(words) => {
+                    self.node.stats.count(Counter::Heard);
+                    module.send(Mail::Told(words));
+                }
+                None => self.node.stats.count(Counter::Dropped),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/driver/src/shutdown.rs
@@ -0,0 +1,76 @@
+//! Accepting clients until the driver is told to stop, and the way from there to its end.
+
+use std::future::Future;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use futures_lite::{future, StreamExt};
+use log::{info, warn};
+
+use crate::client::Clients;
+use crate::Node;
+
+/// New connections still come for so long after the signal: they are taken, and old ones are kept.
+const TURNING: Duration = Duration::from_millis(500);
+/// No new connection for so long, with none left open, and the driver ends.
+const QUIET: Duration = Duration::from_millis(200);
+/// Pause after an accept that failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Ready once the process is asked to stop.
+pub async fn signalled() {
+    match Signals::new([Signal::Term, Signal::Int]) {
+        Ok(mut signals) => drop(signals.next().await),
+        Err(e) => {
+            warn!("signals can't be received: {e}");
+            future::pending().await
+        }
+    }
+}
+
+/// Accepts clients; once `stop` is ready, has all that was taken answered, and ends.
+pub async fn serve(
+    node: Rc<Node>,
+    listener: Async<TcpListener>,
+    clients: Rc<Clients>,
+    stop: impl Future<Output = ()>,
+) {
+    let accept = accept(&node, &listener, &clients);
+    let end = async {
+        stop.await;
+        info!("stopping: no further requests are wanted");
+        Timer::after(TURNING).await;
+        clients.close();
+        let mut quiet_since = Instant::now();
+        while quiet_since.elapsed() < QUIET {
+            if !clients.is_empty() {
+                quiet_since = Instant::now();
+            }
+            Timer::after(QUIET / 20).await;
+        }
+        info!("stopped: all that was taken is answered");
+    };
+    future::or(end, accept).await;
+}
+
+async fn accept(node: &Rc<Node>, listener: &Async<TcpListener>, clients: &Rc<Clients>) {
+    let mut failing = false;
+    loop {
+        let place = node.descriptors.clients.take().await;
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                failing = false;
+                clients.welcome(stream, place);
+            }
+            Err(e) => {
+                if !std::mem::replace(&mut failing, true) {
+                    warn!("accepting a client failed: {e}");
+                }
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
