--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -23,6 +23,8 @@
 
 /// A client that doesn't read its answer for so long is gone.
 const WRITE_WAIT: Duration = Duration::from_secs(10);
+/// A new connection is not idle for so long: its first request is on the way.
+const FIRST_WAIT: Duration = Duration::from_secs(1);
 /// A connection's mailbox: at most one answer and a few wishes that it be closed.
 const MAILBOX: usize = 4;
 
@@ -66,7 +68,7 @@
         let _ = stream.get_ref().set_nodelay(true);
         let (sender, mailbox) = async_channel::bounded(MAILBOX);
         let (clients, buffer) = (self.clone(), Buffer::default());
-        let connection = Connection { clients, stream, buffer, read_at: 0, sender, mailbox };
+        let connection = Connection { clients, stream, buffer, read_at: 0, sender, mailbox, is_new: true };
         self.node.spawn(async move {
             if let Err(end) = connection.serve().await {
                 debug!("a client's connection ended: {end}");
@@ -101,6 +103,8 @@
     read_at: Micros,
     sender: Sender<ClientMail>,
     mailbox: Receiver<ClientMail>,
+    /// No request has come yet, and its time to come is not over.
+    is_new: bool,
 }
 
 impl Connection {
@@ -205,8 +209,9 @@
 
     /// Has a request answered; false if the connection is to end.
     async fn request(&mut self, arrival: Arrival) -> io::Result<bool> {
-        let (id, stats) = (arrival.id, &self.clients.node.stats);
-        stats.count(Counter::Requests);
+        let id = arrival.id;
+        self.is_new = false;
+        self.clients.node.stats.count(Counter::Requests);
         self.clients.module.send(Mail::Request(Box::new(arrival)));
         let answer = loop {
             // Input that can't be looked at yet is only read as far as the next request may reach.
@@ -246,6 +251,16 @@
 
     /// Reads more while no request is open; false if the connection is to end.
     async fn more(&mut self) -> io::Result<bool> {
+        if self.is_new {
+            let late = async {
+                Timer::after(FIRST_WAIT).await;
+                None
+            };
+            match future::or(async { Some(self.wake(true).await) }, late).await {
+                Some(Wake::Input(read)) => return Ok(read? > 0),
+                Some(Wake::Mail(_)) | None => self.is_new = false,
+            }
+        }
         let clients = self.clients.clone();
         let (places, sender) = (&clients.node.descriptors.clients, self.sender.clone());
         let turn = places.rest(move || drop(sender.try_send(ClientMail::Close)));
--- a/crates/driver/src/config.rs
+++ b/crates/driver/src/config.rs
@@ -8,6 +8,9 @@
 
 use crate::listing::Listing;
 
+/// With fewer descriptors no request can be served.
+const LEAST_SOCKETS: usize = 48;
+
 /// The driver's configuration.
 #[derive(Debug, Deserialize)]
 pub struct Config {
@@ -64,7 +67,15 @@
 
     /// Reads a configuration from its JSON text.
     pub fn parse(text: &[u8]) -> Result<Config, String> {
-        serde_json::from_slice(text).map_err(|e| e.to_string())
+        let config: Config = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+        let dialect = &config.settings.dialect;
+        if dialect.connect_timeout == 0 || dialect.conn_idle == 0 {
+            return Err("settings.limits.connectTimeoutUs and connIdleUs are needed".into());
+        }
+        if config.limits.sockets < LEAST_SOCKETS {
+            return Err(format!("limits.sockets is {}, under {LEAST_SOCKETS}", config.limits.sockets));
+        }
+        Ok(config)
     }
 }
 
--- a/crates/driver/src/descriptors.rs
+++ b/crates/driver/src/descriptors.rs
@@ -35,6 +35,8 @@
     free: Arc<Semaphore>,
     idle: RefCell<BTreeMap<Turn, Box<dyn Fn()>>>,
     turn: Cell<u64>,
+    /// Those that wait for a place.
+    waiting: Cell<usize>,
 }
 
 /// Names an idle connection; those idle for longer come first.
@@ -43,7 +45,8 @@
 
 impl Places {
     fn new(count: usize) -> Self {
-        Places { free: Arc::new(Semaphore::new(count)), idle: RefCell::default(), turn: Cell::default() }
+        let (idle, turn, waiting) = Default::default();
+        Places { free: Arc::new(Semaphore::new(count)), idle, turn, waiting }
     }
 
     /// A place if one is free.
@@ -51,14 +54,19 @@
         self.free.try_acquire_arc()
     }
 
-    /// Waits for a place; the longest idle connection is asked to go.
+    /// Waits for a place; the longest idle connection is asked to go, or else the first that is idle again.
     pub async fn take(&self) -> Permit {
         if let Some(permit) = self.try_take() {
             return permit;
         }
+        self.close_longest();
+        let _waits = Waits::new(&self.waiting);
+        self.free.acquire_arc().await
+    }
+
+    fn close_longest(&self) {
         let longest = self.idle.borrow_mut().pop_first();
         longest.into_iter().for_each(|(_, close)| close());
-        self.free.acquire_arc().await
     }
 
     /// Notes that a connection is idle, with the way to have it closed.
@@ -66,6 +74,9 @@
         let turn = Turn(self.turn.get());
         self.turn.set(turn.0 + 1);
         self.idle.borrow_mut().insert(turn, Box::new(close));
+        if self.waiting.get() > 0 {
+            self.close_longest();
+        }
         turn
     }
 
@@ -80,3 +91,19 @@
         all.into_values().for_each(|close| close());
     }
 }
+
+/// Counts one that waits, for as long as it does.
+struct Waits<'a>(&'a Cell<usize>);
+
+impl<'a> Waits<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Waits(count)
+    }
+}
+
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- a/crates/driver/src/listing.rs
+++ b/crates/driver/src/listing.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 
-use serde::Deserialize;
+use log::warn;
+use serde::{Deserialize, Deserializer};
 
 /// A whole list, or the changes since another one.
 #[derive(Clone, Debug, Deserialize)]
@@ -11,7 +12,8 @@
     pub generation: u64,
     /// Whether it is whole.
     pub reset: bool,
-    /// Its entries.
+    /// Its entries. One that can't be read is passed over: the others still count.
+    #[serde(deserialize_with = "readable")]
     pub instances: Vec<Instance>,
 }
 
@@ -54,3 +56,10 @@
 pub const LEADER: &str = "leader";
 /// What the list, an answer and a report call a replica.
 pub const FOLLOWER: &str = "follower";
+
+fn readable<'de, D: Deserializer<'de>>(list: D) -> Result<Vec<Instance>, D::Error> {
+    let entries = Vec::<serde_json::Value>::deserialize(list)?;
+    let read =
+        |entry| serde_json::from_value(entry).inspect_err(|e| warn!("a list entry can't be read: {e}")).ok();
+    Ok(entries.into_iter().filter_map(read).collect())
+}
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::future::Future;
-use std::io;
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -60,6 +60,44 @@
     pub sent: Micros,
 }
 
+impl Attempt {
+    /// Whether the module still wants this sent, asked after a wait.
+    async fn confirm(&self, node: &Node, module: &ModuleHandle, to: MemberId) -> bool {
+        let confirmed = module.confirm(self.request, to).await;
+        if !confirmed {
+            node.stats.count(Counter::Withdrawn);
+        }
+        confirmed
+    }
+
+    /// Writes the query. Where the connection takes only part of it, the rest goes out only if the module still
+    /// wants it once there is room; a query that is cut short never runs.
+    async fn write(
+        &self,
+        node: &Node,
+        module: &ModuleHandle,
+        to: MemberId,
+        stream: &Async<TcpStream>,
+        mut query: &[u8],
+    ) -> Result<(), Outcome> {
+        while !query.is_empty() {
+            let mut socket = stream.get_ref();
+            match socket.write(query) {
+                Ok(count) => query = &query[count..],
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    stream.writable().await.map_err(|_| Outcome::Unreachable)?;
+                    if !self.confirm(node, module, to).await {
+                        return Err(Outcome::Moot);
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return Err(Outcome::Unreachable),
+            }
+        }
+        Ok(())
+    }
+}
+
 /// The end of an attempt.
 pub struct AttemptEnd {
     /// Which request.
@@ -131,7 +169,6 @@
     stream: Async<TcpStream>,
     buffer: Buffer,
     address: SocketAddr,
-    told: Told,
     _place: Permit,
 }
 
@@ -208,9 +245,9 @@
     fn attempt(&mut self, attempt: Attempt) {
         self.node.stats.count(Counter::Attempts);
         let (node, id, address, sender) = (self.node.clone(), self.id, self.address, self.sender.clone());
-        let (idle, request) = (self.take_idle(), attempt.request);
+        let (module, idle, request) = (self.module.clone(), self.take_idle(), attempt.request);
         let task = self.node.executor.spawn(async move {
-            let (reply, connection) = carry(&node, address, idle, &attempt).await;
+            let (reply, connection) = carry(&node, &module, id, address, idle, &attempt).await;
             let took = node.clock.now().saturating_sub(attempt.sent);
             let Reply { outcome, answer, told } = reply;
             let end = AttemptEnd { request, member: id, outcome, answer, told, took };
@@ -300,6 +337,8 @@
 /// Carries an attempt from its connection to its outcome.
 async fn carry(
     node: &Node,
+    module: &ModuleHandle,
+    id: MemberId,
     address: SocketAddr,
     idle: Option<Connection>,
     attempt: &Attempt,
@@ -308,20 +347,19 @@
     let mut connection = match idle {
         Some(connection) => connection,
         None => match within(Some(ends), open(node, address)).await {
-            Some(Ok(connection)) => connection,
+            Some(Ok(connection)) if attempt.confirm(node, module, id).await => connection,
+            Some(Ok(connection)) => return (Reply::without_answer(Outcome::Moot), Some(connection)),
             Some(Err(outcome)) => return (Reply::without_answer(outcome), None),
             // Its own time ran out: that says nothing of the member.
             None => return (Reply::without_answer(Outcome::Moot), None),
         },
     };
-    let wait_ms = attempt.ends.saturating_sub(node.clock.now()) / 1000;
-    if wait_ms == 0 {
-        return (Reply::without_answer(Outcome::Moot), Some(connection));
-    }
+    // The member need not hear of the last part of a millisecond.
+    let wait_ms = attempt.ends.saturating_sub(node.clock.now()).div_ceil(1000);
     let query = attempt.statement.query(wait_ms);
-    match within(Some(ends), connection.stream.write_all(&query)).await {
+    match within(Some(ends), attempt.write(node, module, id, &connection.stream, &query)).await {
         Some(Ok(())) => {}
-        Some(Err(_)) => return (Reply::without_answer(Outcome::Unreachable), None),
+        Some(Err(outcome)) => return (Reply::without_answer(outcome), None),
         None => return (Reply::without_answer(Outcome::Moot), None),
     }
     drop(query);
@@ -370,8 +408,7 @@
         node.stats.count(Counter::Connects);
         let stream = Async::<TcpStream>::connect(address).await.map_err(|_| Outcome::Unreachable)?;
         let _ = stream.get_ref().set_nodelay(true);
-        let (buffer, told) = Default::default();
-        let mut connection = Connection { stream, buffer, address, told, _place: place };
+        let mut connection = Connection { stream, buffer: Buffer::default(), address, _place: place };
         let mut startup = Vec::new();
         pg::put_startup(&mut startup);
         connection.stream.write_all(&startup).await.map_err(|_| Outcome::Unreachable)?;
@@ -393,10 +430,6 @@
                         return Err(if full { Outcome::Full } else { Outcome::Unreachable });
                     }
                     Backend::Authentication(1..) => return Err(Outcome::Unreachable),
-                    Backend::ParameterStatus(name, value) => {
-                        self.told.take(name, value);
-                        false
-                    }
                     message => message == Backend::Ready,
                 };
                 self.buffer.consume(length);
@@ -412,63 +445,69 @@
 
     /// Reads the answer to a statement that was written whole; tells also whether the connection can be used again.
     async fn reply(&mut self) -> (Reply, bool) {
-        let mut answer = Vec::new();
+        // Only what comes with this answer counts: an earlier one may have told another role.
+        let (mut answer, mut told) = (Vec::new(), Told::default());
         // What stands in for the outcome until the statement's end has come.
         let mut outcome = Outcome::Reset;
-        let mut row = RowState::Nothing;
+        let mut row = Row::Nothing;
         loop {
             loop {
                 let bytes = self.buffer.filled();
                 let (message, length) = match pg::backend(bytes) {
                     Ok(Some(parsed)) => parsed,
                     Ok(None) => break,
-                    Err(_) => return (Reply { outcome: Outcome::Reset, answer, told: self.told }, false),
+                    Err(_) => return (Reply { outcome: Outcome::Reset, answer, told }, false),
                 };
                 let mut ready = false;
                 match message {
-                    Backend::ParameterStatus(name, value) => self.told.take(name, value),
+                    Backend::ParameterStatus(name, value) => told.take(name, value),
                     Backend::Error(code) => outcome = outcome_of(code),
-                    Backend::RowDescription(1) => row = row.next(RowState::Nothing, RowState::Described),
-                    Backend::DataRow(Some(_)) => row = row.next(RowState::Described, RowState::Given),
-                    Backend::RowDescription(_) | Backend::DataRow(None) => row = RowState::Unfit,
-                    Backend::CommandComplete if row == RowState::Given => outcome = Outcome::Served,
-                    Backend::CommandComplete => outcome = Outcome::Error,
+                    Backend::RowDescription(_) | Backend::DataRow(_) | Backend::CommandComplete => {
+                        row = row.next(message);
+                        outcome = match row {
+                            Row::Complete => Outcome::Served,
+                            Row::Unfit => Outcome::Error,
+                            _ => outcome,
+                        };
+                        // One of each at most is kept, so the bound on messages bounds the answer.
+                        if row != Row::Unfit {
+                            answer.extend_from_slice(&bytes[..length]);
+                        }
+                    }
                     Backend::Ready => ready = true,
                     Backend::Authentication(_) | Backend::Other => {}
                 }
-                let passed_on = Backend::CommandComplete == message
-                    || matches!(message, Backend::RowDescription(_) | Backend::DataRow(_));
-                if passed_on && answer.len() + length <= 2 * pg::MAX_ANSWER {
-                    answer.extend_from_slice(&bytes[..length]);
-                }
                 self.buffer.consume(length);
                 if ready {
-                    return (Reply { outcome, answer, told: self.told }, true);
+                    return (Reply { outcome, answer, told }, true);
                 }
             }
             // After a fatal error, or with all but the last message there, what has come is the outcome.
             if self.buffer.fill(&mut self.stream).await.map_or(true, |count| count == 0) {
-                return (Reply { outcome, answer, told: self.told }, false);
+                return (Reply { outcome, answer, told }, false);
             }
         }
     }
 }
 
-/// How far an answer's row has come.
+/// How far an answer's single row has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RowState {
+enum Row {
     Nothing,
     Described,
     Given,
+    Complete,
+    /// Not what a request's answer looks like.
     Unfit,
 }
 
-impl RowState {
-    fn next(self, from: RowState, to: RowState) -> RowState {
-        if self == from {
-            to
-        } else {
-            RowState::Unfit
+impl Row {
+    fn next(self, message: Backend) -> Row {
+        match (self, message) {
+            (Row::Nothing, Backend::RowDescription(1)) => Row::Described,
+            (Row::Described, Backend::DataRow(Some(_))) => Row::Given,
+            (Row::Given, Backend::CommandComplete) => Row::Complete,
+            _ => Row::Unfit,
         }
     }
 }
--- a/crates/driver/src/module.rs
+++ b/crates/driver/src/module.rs
@@ -43,6 +43,8 @@
     AttemptEnded(Box<AttemptEnd>),
     /// The end of a probe.
     ProbeEnded(MemberId, Outcome, Report),
+    /// Whether a send that had to wait may still go out.
+    Confirm(RequestId, MemberId, Sender<bool>),
     /// What another driver heard from members.
     Told(Vec<PeerWord>),
 }
@@ -100,6 +102,13 @@
         let _ = self.mail.try_send(mail);
     }
 
+    /// Asks whether a send that had to wait may still go out.
+    pub async fn confirm(&self, request: RequestId, member: MemberId) -> bool {
+        let (reply, answer) = async_channel::bounded(1);
+        self.send(Mail::Confirm(request, member, reply));
+        answer.recv().await.unwrap_or(false)
+    }
+
     /// Sends the list, which is handled before all other mail.
     pub async fn list(&self, listing: Listing) {
         let _ = self.lists.send(listing).await;
@@ -115,7 +124,8 @@
 }
 
 struct Known {
-    name: String,
+    /// What drivers call it among each other.
+    tag: u32,
     address: SocketAddr,
     /// Its actor, once there was mail for it.
     actor: Option<Sender<MemberMail>>,
@@ -200,6 +210,9 @@
             Mail::ProbeEnded(member, outcome, report) => {
                 self.handle(&Event::ProbeEnded { member, outcome, report });
             }
+            Mail::Confirm(request, member, reply) => {
+                let _ = reply.try_send(self.router.confirm(self.node.clock.now(), request, member));
+            }
             Mail::Told(words) => {
                 let words: Vec<Word> = words.iter().filter_map(|w| self.word(w)).collect();
                 self.handle(&Event::Told(words));
@@ -222,7 +235,7 @@
             None => {
                 let id = MemberId(self.members.len() as u32);
                 self.ids.insert(instance.instance_id.clone(), id);
-                self.members.push(Known { name: instance.instance_id, address, actor: None });
+                self.members.push(Known { tag: peers::tag(&instance.instance_id), address, actor: None });
                 id
             }
         };
@@ -289,7 +302,7 @@
 
     /// What a peer said, if it is plain of which member.
     fn word(&self, word: &PeerWord) -> Option<Word> {
-        let mut named = self.members.iter().enumerate().filter(|(_, m)| peers::tag(&m.name) == word.tag);
+        let mut named = self.members.iter().enumerate().filter(|(_, m)| m.tag == word.tag);
         let (index, _) = named.next().filter(|_| named.next().is_none())?;
         Some(Word { member: MemberId(index as u32), position: word.position, role: word.role })
     }
@@ -355,11 +368,7 @@
     fn tell(&mut self, words: &[Word]) {
         let Some(peers) = &self.peers else { return };
         let named = words.iter().filter_map(|w| Some((w, self.members.get(w.member.0 as usize)?)));
-        let words = named.map(|(w, known)| PeerWord {
-            tag: peers::tag(&known.name),
-            position: w.position,
-            role: w.role,
-        });
+        let words = named.map(|(w, known)| PeerWord { tag: known.tag, position: w.position, role: w.role });
         if peers.try_send(words.collect()).is_err() {
             self.node.stats.count(Counter::Dropped);
         }
--- a/crates/driver/src/peers.rs
+++ b/crates/driver/src/peers.rs
@@ -6,9 +6,10 @@
 
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use async_io::Async;
+use async_io::{Async, Timer};
 use beaconshore::interface::{Micros, Role};
 use futures_lite::future;
 
@@ -24,6 +25,8 @@
 const WORD: usize = 8;
 /// Lists of words that may wait to be sent; further ones are dropped, as datagrams may be.
 const MAILBOX: usize = 16;
+/// Pause after an error of the socket.
+const ERROR_PAUSE: Duration = Duration::from_millis(20);
 
 /// What one driver tells another of a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,7 +51,7 @@
         let mut bytes = vec![VERSION];
         bytes.extend_from_slice(&base.to_be_bytes()[2..]);
         for word in words {
-            let before = (base - word.position / 1000).min(u64::from(u32::MAX >> 2)) as u32;
+            let before = (base - word.position / 1000) as u32;
             let role = match word.role {
                 None => 0,
                 Some(Role::Primary) => 1,
@@ -59,6 +62,10 @@
         }
         bytes
     };
+    // Of what is much older than the newest there is no news.
+    let newest = words.iter().map(|w| w.position / 1000).max().unwrap_or(0);
+    let near = |w: &&PeerWord| newest - w.position / 1000 <= u64::from(u32::MAX >> 2);
+    let words: Vec<PeerWord> = words.iter().filter(near).copied().collect();
     words.chunks((MAX_DATAGRAM - HEADER) / WORD).map(datagram).collect()
 }
 
@@ -132,7 +139,10 @@
         let mut bytes = [0; MAX_DATAGRAM + 1];
         loop {
             // An error tells of an earlier datagram that reached no one.
-            let Ok((length, from)) = self.socket.recv_from(&mut bytes).await else { continue };
+            let Ok((length, from)) = self.socket.recv_from(&mut bytes).await else {
+                Timer::after(ERROR_PAUSE).await;
+                continue;
+            };
             if Some(from) == self.own {
                 continue;
             }
--- /dev/null
+++ b/crates/driver/tests/common/client.rs
@@ -0,0 +1,125 @@
+//! A client of a driver.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use super::{put, take, LIMIT};
+
+/// What a driver answers to a query.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    pub values: Vec<Vec<u8>>,
+    pub code: Option<String>,
+    pub detail: Option<String>,
+    /// The kinds of its messages, in order.
+    pub kinds: String,
+}
+
+impl Answer {
+    /// What a served request gets, and nothing else.
+    pub fn is_served(&self) -> bool {
+        self.kinds == "TDCZ" && self.values.len() == 1
+    }
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+    bytes: Vec<u8>,
+}
+
+static IDS: AtomicU64 = AtomicU64::new(1);
+
+fn id() -> u64 {
+    IDS.fetch_add(1, Ordering::Relaxed)
+}
+
+/// A read that waits so many milliseconds.
+pub fn read(wait_ms: u32) -> String {
+    let id = id();
+    format!(
+        "/* id={id:016x},c=view,d={wait_ms},cluster=0 */ SELECT payload FROM entries WHERE ref = '{id:016x}'"
+    )
+}
+
+/// A keyed write that waits so many milliseconds.
+pub fn write(wait_ms: u32) -> String {
+    let id = id();
+    format!(
+        "/* id={id:016x},c=log,d={wait_ms},k={id:016x},cluster=0 */ \
+         INSERT INTO entries (ref, payload) VALUES ('{id:016x}', '\\x9f03') RETURNING payload"
+    )
+}
+
+pub fn startup() -> Vec<u8> {
+    let mut startup = Vec::new();
+    startup.extend([0, 3, 0, 0]);
+    startup.extend(b"user\0web\0database\0orders\0\0");
+    let length = startup.len() as u32 + 4;
+    [&length.to_be_bytes()[..], &startup].concat()
+}
+
+pub fn query(text: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    put(&mut out, b'Q', format!("{text}\0").as_bytes());
+    out
+}
+
+impl Client {
+    pub fn connect(address: SocketAddr) -> Client {
+        let mut client = Client::raw(address);
+        client.send(&startup());
+        assert!(client.answer().expect("a welcome").kinds.ends_with('Z'));
+        client
+    }
+
+    /// A connection on which nothing was said.
+    pub fn raw(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect_timeout(&address, LIMIT).expect("the driver takes a connection");
+        stream.set_read_timeout(Some(LIMIT)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Client { stream, bytes: Vec::new() }
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).expect("the driver reads");
+    }
+
+    pub fn ask(&mut self, text: &str) -> Answer {
+        self.send(&query(text));
+        self.answer().expect("an answer before the connection ends")
+    }
+
+    /// All up to ReadyForQuery; what came before the connection's end, if that ended it, comes as an error.
+    pub fn answer(&mut self) -> Result<Answer, Answer> {
+        let mut answer = Answer::default();
+        loop {
+            while let Some((kind, content)) = take(&mut self.bytes) {
+                answer.kinds.push(kind as char);
+                match kind {
+                    b'Z' => return Ok(answer),
+                    b'D' => answer.values.push(content[6..].to_vec()),
+                    b'E' => {
+                        let fields = content.split(|&b| b == 0).filter(|f| !f.is_empty());
+                        for field in fields {
+                            let value = String::from_utf8_lossy(&field[1..]).into_owned();
+                            match field[0] {
+                                b'C' => answer.code = Some(value),
+                                b'D' => answer.detail = Some(value),
+                                _ => {}
+                            }
+                        }
+                    }
+                    _ => {}
+                }
+            }
+            let mut part = [0; 16 * 1024];
+            match self.stream.read(&mut part) {
+                Ok(0) => return Err(answer),
+                Ok(count) => self.bytes.extend_from_slice(&part[..count]),
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return Err(answer),
+                Err(e) => panic!("no answer: {e}; so far {answer:?}"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/driver/tests/common/discovery.rs
@@ -0,0 +1,132 @@
+//! A stand-in of discovery: the whole list, and watches of its changes.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use serde_json::{json, Value};
+
+use super::Member;
+
+#[derive(Default)]
+pub struct State {
+    /// Each change with its version; the first ones are the list at start.
+    changes: Vec<(u64, Value)>,
+    /// Answers nothing, and its watches say nothing.
+    pub silent: bool,
+    /// Sends junk to watches that are open, once each, then ends them.
+    pub garble: bool,
+    /// What was asked.
+    pub asked: Vec<String>,
+}
+
+#[derive(Clone)]
+pub struct Discovery {
+    pub address: SocketAddr,
+    pub state: Arc<Mutex<State>>,
+}
+
+pub fn entry(member: &Member, lifecycle: &str) -> Value {
+    let role = if member.set(|s| s.leader) { "leader" } else { "follower" };
+    json!({"instanceId": member.name, "hostPort": member.address.to_string(), "zone": "a", "machineType": "m",
+        "cell": 0, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0, "role": role})
+}
+
+impl Discovery {
+    pub fn start(members: &[Member]) -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let changes = members.iter().map(|m| (1, entry(m, "ready"))).collect();
+        let state = Arc::new(Mutex::new(State { changes, ..State::default() }));
+        let discovery = Discovery { address: listener.local_addr().unwrap(), state };
+        let serving = discovery.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let discovery = serving.clone();
+                thread::spawn(move || discovery.serve(stream));
+            }
+        });
+        discovery
+    }
+
+    pub fn set<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
+        change(&mut self.state.lock().unwrap())
+    }
+
+    /// Tells a member's new state.
+    pub fn tell(&self, entry: Value) {
+        self.set(|s| {
+            let version = s.changes.last().map_or(0, |(version, _)| *version) + 1;
+            s.changes.push((version, entry));
+        });
+    }
+
+    /// The list as a driver may have had it.
+    pub fn known(&self) -> Value {
+        self.listing(0, true).unwrap().1
+    }
+
+    /// What changed after a version, and the version that it leads to.
+    fn listing(&self, after: u64, reset: bool) -> Option<(u64, Value)> {
+        self.set(|s| {
+            let mut instances: Vec<Value> = Vec::new();
+            for (_, entry) in s.changes.iter().filter(|(version, _)| *version > after) {
+                instances.retain(|i| i["instanceId"] != entry["instanceId"]);
+                if !reset || entry["lifecycle"] != "gone" {
+                    instances.push(entry.clone());
+                }
+            }
+            let version = s.changes.last().map_or(0, |(version, _)| *version);
+            let listing = json!({"generation": version, "reset": reset, "instances": instances});
+            (reset || version > after).then_some((version, listing))
+        })
+    }
+
+    fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            if stream.read(&mut byte)? == 0 {
+                return Ok(());
+            }
+            head.push(byte[0]);
+        }
+        let head = String::from_utf8_lossy(&head).into_owned();
+        let target = head.split(' ').nth(1).unwrap_or_default().to_string();
+        let silent = self.set(|s| {
+            s.asked.push(target.clone());
+            s.silent
+        });
+        if silent {
+            while stream.read(&mut [0; 64])? > 0 {}
+            return Ok(());
+        }
+        let Some((_, from)) = target.split_once("watch=1&from=") else {
+            let (_, list) = self.listing(0, true).unwrap();
+            let text = list.to_string();
+            return write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+        };
+        let mut version: u64 = from.parse().unwrap();
+        write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+        let mut beats = 0;
+        loop {
+            if self.set(|s| std::mem::take(&mut s.garble)) {
+                return stream.write_all(b"5\r\n{\"a\":\r\n!!\r\n");
+            }
+            let silent = self.set(|s| s.silent);
+            if let Some((next, listing)) = self.listing(version, false).filter(|_| !silent) {
+                version = next;
+                let text = format!("{listing}\n");
+                // A line may come in several chunks.
+                let (first, second) = text.split_at(text.len() / 2);
+                write!(stream, "{:x}\r\n{first}\r\n{:x}\r\n{second}\r\n", first.len(), second.len())?;
+            }
+            thread::sleep(Duration::from_millis(5));
+            beats += 1;
+            if beats % 200 == 0 && !silent {
+                write!(stream, "1\r\n\n\r\n")?;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/driver/tests/common/driver.rs
@@ -0,0 +1,169 @@
+//! The driver as a program, with a configuration of its own.
+
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::{env, fs, process, thread};
+
+use serde_json::{json, Value};
+
+use super::{eventually, read, Client, Discovery, Member};
+
+/// A leader, a follower, discovery, and a driver.
+pub struct World {
+    pub leader: Member,
+    pub follower: Member,
+    pub discovery: Discovery,
+    pub driver: Driver,
+}
+
+impl World {
+    pub fn start() -> World {
+        World::with(|_| {})
+    }
+
+    /// A world whose configuration was changed before the start; it is known to serve reads.
+    pub fn with(change: impl FnOnce(&mut Value)) -> World {
+        let (leader, follower) = (Member::start("s-leader", true), Member::start("s-follower", false));
+        let discovery = Discovery::start(&[leader.clone(), follower.clone()]);
+        let mut config = config(&discovery);
+        change(&mut config);
+        let driver = Driver::start(config);
+        let world = World { leader, follower, discovery, driver };
+        let mut client = world.client();
+        eventually("reads are served", || client.ask(&read(2000)).is_served());
+        world
+    }
+
+    pub fn client(&self) -> Client {
+        Client::connect(self.driver.address)
+    }
+
+    pub fn members(&self) -> [&Member; 2] {
+        [&self.leader, &self.follower]
+    }
+
+    /// Requests that reached any member.
+    pub fn queries(&self) -> usize {
+        self.members().iter().map(|m| m.queries().len()).sum()
+    }
+}
+
+/// A port that nothing listened to a moment ago.
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+pub fn config(discovery: &Discovery) -> Value {
+    let peer = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    json!({
+        "name": "n0", "listen": free_address().to_string(), "discovery": discovery.address.to_string(),
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "peer_listen": peer.to_string(), "peers": [peer.to_string()],
+        "known": discovery.known(),
+        "settings": {
+            "discovery": "pushed", "nInstances": 1, "stepUs": 5000, "zone": 0, "zones": ["a", "b"],
+            "extra": {"consistency": ["recent", "update"], "stalenessBoundUs": [200_000, 0], "guards": "silent",
+                "sessionMarks": "client", "zeroUs": 0},
+            "limits": {"connIdleUs": 30_000_000, "connectTimeoutUs": 250_000, "maxAttempts": 8,
+                "maxRetryAfterUs": 1_000_000, "peerMessages": true, "probes": true, "retryAfter": true},
+            "loadReport": {"fields": ["x0", "x1", "utilization"], "how": "piggyback"},
+            "requestClasses": [
+                {"name": "view", "aimUs": 250_000, "deadlineUs": 1_000_000, "idempotency": "idempotent",
+                    "worth": 3.0, "lateWorth": 0.0, "windowUs": 0},
+                {"name": "log", "aimUs": 600_000, "deadlineUs": 5_000_000, "idempotency": "deduplicated",
+                    "dedupScope": "cell", "worth": 4.0, "lateWorth": 0.3, "windowUs": 3_000_000},
+            ],
+            "rules": {"startCapacity": 0.18, "warmWithinUs": 16_000_000, "tipMultiple": 2.0, "fallUs": 1_500_000},
+        },
+    })
+}
+
+pub struct Driver {
+    pub address: SocketAddr,
+    pub config: Value,
+    child: Child,
+    log: Arc<Mutex<Vec<String>>>,
+    file: PathBuf,
+}
+
+static FILES: AtomicU64 = AtomicU64::new(0);
+
+/// Starts the program with this text as its configuration.
+pub fn spawn(text: &str) -> (Child, PathBuf) {
+    let number = FILES.fetch_add(1, Ordering::Relaxed);
+    let file = env::temp_dir().join(format!("beaconshore-test-{}-{number}.json", process::id()));
+    fs::write(&file, text).unwrap();
+    let child = Command::new(env!("CARGO_BIN_EXE_beaconshore"))
+        .env("RELAY_CONFIG", &file)
+        .env("RUST_LOG", "debug")
+        .env_remove("RELAY_LISTEN")
+        .env_remove("RELAY_DISCOVERY")
+        .env_remove("RELAY_NAME")
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    (child, file)
+}
+
+impl Driver {
+    pub fn start(config: Value) -> Driver {
+        let address = config["listen"].as_str().unwrap().parse().unwrap();
+        let (mut child, file) = spawn(&config.to_string());
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let (stderr, lines) = (BufReader::new(child.stderr.take().unwrap()), log.clone());
+        thread::spawn(move || {
+            stderr.lines().map_while(Result::ok).for_each(|l| lines.lock().unwrap().push(l))
+        });
+        let driver = Driver { address, config, child, log, file };
+        eventually("the driver answers an empty query", || {
+            TcpStream::connect(address).is_ok() && Client::connect(address).ask("").kinds == "IZ"
+        });
+        driver
+    }
+
+    /// Whether a line of the log holds this.
+    pub fn logged(&self, text: &str) -> bool {
+        self.log.lock().unwrap().iter().any(|line| line.contains(text))
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    pub fn descriptors(&self) -> usize {
+        fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
+    }
+
+    pub fn signal(&self, signal: &str) {
+        let command = format!("kill -{signal} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &command]).status().unwrap().success());
+    }
+
+    /// Waits for the program's end.
+    pub fn ended(&mut self) -> ExitStatus {
+        let mut status = None;
+        eventually("the program ends", || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        });
+        status.unwrap()
+    }
+}
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.file);
+        if thread::panicking() {
+            self.log.lock().unwrap().iter().for_each(|line| eprintln!("driver: {line}"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/driver/tests/common/member.rs
@@ -0,0 +1,260 @@
+//! A stand-in of a member: speaks PostgreSQL's protocol, and misbehaves as it is told.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use super::{put, take, unix_ms};
+
+/// What a member does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    /// Serves it.
+    Serve,
+    /// Answers with this code.
+    Code(&'static str),
+    /// Reads it and says nothing.
+    Silent,
+    /// Reads it and closes the connection.
+    Close,
+    /// Starts a row, then closes the connection.
+    HalfAnswer,
+    /// Sends what is no message.
+    Garbage,
+    /// Takes connections and never welcomes any.
+    Unwelcoming,
+    /// Welcomes connections with this code.
+    Reject(&'static str),
+    /// Closes each connection after the answer.
+    CloseAfterAnswer,
+}
+
+pub struct State {
+    pub leader: bool,
+    pub behaviour: Behaviour,
+    /// How far its position is behind the clock.
+    pub lag: Duration,
+    /// Values told with each answer instead of the true ones.
+    pub lies: Vec<(&'static str, String)>,
+    /// How long it thinks about each request.
+    pub pause: Duration,
+    /// How long each welcome takes.
+    pub welcome_pause: Duration,
+    /// Requests that came whole.
+    pub queries: Vec<String>,
+    pub probes: usize,
+    /// Connections opened so far, and those open now.
+    pub connections: usize,
+    pub open: usize,
+    /// Requests that are held in silence.
+    pub holds: usize,
+}
+
+#[derive(Clone)]
+pub struct Member {
+    pub name: String,
+    pub address: SocketAddr,
+    pub state: Arc<Mutex<State>>,
+}
+
+impl Member {
+    pub fn start(name: &str, leader: bool) -> Member {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let state = State {
+            leader,
+            behaviour: Behaviour::Serve,
+            lag: Duration::ZERO,
+            lies: Vec::new(),
+            pause: Duration::ZERO,
+            welcome_pause: Duration::ZERO,
+            queries: Vec::new(),
+            probes: 0,
+            connections: 0,
+            open: 0,
+            holds: 0,
+        };
+        let state = Arc::new(Mutex::new(state));
+        let member = Member { name: name.into(), address: listener.local_addr().unwrap(), state };
+        let serving = member.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let member = serving.clone();
+                thread::spawn(move || {
+                    member.set(|s| (s.connections, s.open) = (s.connections + 1, s.open + 1));
+                    let _ = member.serve(stream);
+                    member.set(|s| s.open -= 1);
+                });
+            }
+        });
+        member
+    }
+
+    pub fn set<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
+        change(&mut self.state.lock().unwrap())
+    }
+
+    pub fn behave(&self, behaviour: Behaviour) {
+        self.set(|s| s.behaviour = behaviour);
+    }
+
+    pub fn queries(&self) -> Vec<String> {
+        self.set(|s| s.queries.clone())
+    }
+
+    fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        let mut bytes = Vec::new();
+        let mut out = Vec::new();
+        while bytes.len() < 8 || bytes.len() < u32::from_be_bytes(*bytes.first_chunk().unwrap()) as usize {
+            if !more(&mut stream, &mut bytes)? {
+                return Ok(());
+            }
+        }
+        let length = u32::from_be_bytes(*bytes.first_chunk().unwrap()) as usize;
+        bytes.drain(..length);
+        let (behaviour, pause) = self.set(|s| (s.behaviour, s.welcome_pause));
+        thread::sleep(pause);
+        match behaviour {
+            Behaviour::Unwelcoming => while more(&mut stream, &mut bytes)? {},
+            Behaviour::Reject(code) => put_error(&mut out, "FATAL", code),
+            _ => {
+                put(&mut out, b'R', &[0; 4]);
+                put(&mut out, b'Z', b"I");
+            }
+        }
+        stream.write_all(&out)?;
+        if matches!(behaviour, Behaviour::Unwelcoming | Behaviour::Reject(_)) {
+            return Ok(());
+        }
+        loop {
+            out.clear();
+            match take(&mut bytes) {
+                None => {
+                    if !more(&mut stream, &mut bytes)? {
+                        return Ok(());
+                    }
+                    continue;
+                }
+                Some((b'Q', text)) => {
+                    let text = String::from_utf8_lossy(&text[..text.len() - 1]).into_owned();
+                    if !self.query(&text, &mut stream, &mut out)? {
+                        return Ok(());
+                    }
+                }
+                Some(_) => return Ok(()),
+            }
+            stream.write_all(&out)?;
+        }
+    }
+
+    /// Answers a query; false if the connection ends.
+    fn query(&self, text: &str, stream: &mut TcpStream, out: &mut Vec<u8>) -> std::io::Result<bool> {
+        let probe = text.starts_with("SHOW ") || text == "SELECT 1";
+        let (behaviour, pause) = self.set(|s| {
+            if probe {
+                s.probes += 1;
+            } else {
+                s.queries.push(text.into());
+            }
+            (s.behaviour, s.pause)
+        });
+        let report = self.report();
+        if probe {
+            if matches!(
+                behaviour,
+                Behaviour::Serve | Behaviour::CloseAfterAnswer | Behaviour::Code("25006" | "72000")
+            ) {
+                put_row(out, report.as_bytes());
+            } else {
+                put_error(out, "ERROR", "57P03");
+            }
+            put(out, b'Z', b"I");
+            return Ok(true);
+        }
+        thread::sleep(pause);
+        let mut whole = true;
+        match behaviour {
+            Behaviour::Serve | Behaviour::CloseAfterAnswer => put_row(out, &value_of(text)),
+            Behaviour::Code(code) => put_error(out, "ERROR", code),
+            Behaviour::HalfAnswer => {
+                put_row(out, &value_of(text));
+                out.truncate(out.len() / 2);
+                whole = false;
+            }
+            Behaviour::Garbage => {
+                out.extend(b"?no message of the protocol");
+                whole = false;
+            }
+            Behaviour::Silent => {
+                self.set(|s| s.holds += 1);
+                while more(stream, &mut Vec::new()).unwrap_or(false) {}
+                self.set(|s| s.holds -= 1);
+                return Ok(false);
+            }
+            Behaviour::Close | Behaviour::Unwelcoming | Behaviour::Reject(_) => return Ok(false),
+        }
+        if whole {
+            self.told().iter().for_each(|(name, value)| put_status(out, name, value));
+            put(out, b'Z', b"I");
+        }
+        stream.write_all(out)?;
+        out.clear();
+        Ok(whole && behaviour != Behaviour::CloseAfterAnswer)
+    }
+
+    fn position(&self) -> u64 {
+        unix_ms() - self.set(|s| s.lag).as_millis() as u64
+    }
+
+    fn report(&self) -> String {
+        let (at, role) = (self.position(), u8::from(self.set(|s| s.leader)));
+        format!("x0={}.{:03},x1={role},utilization=0.2", at / 1000, at % 1000)
+    }
+
+    fn told(&self) -> Vec<(&'static str, String)> {
+        let lies = self.set(|s| s.lies.clone());
+        if !lies.is_empty() {
+            return lies;
+        }
+        let role = if self.set(|s| s.leader) { "leader" } else { "follower" };
+        vec![
+            ("node_role", role.into()),
+            ("replay_position", self.position().to_string()),
+            ("server_load", self.report()),
+        ]
+    }
+}
+
+fn more(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> std::io::Result<bool> {
+    let mut part = [0; 16 * 1024];
+    let count = stream.read(&mut part)?;
+    bytes.extend_from_slice(&part[..count]);
+    Ok(count > 0)
+}
+
+/// The value that a member gives for a statement: what its first quotes hold, between marks that are no text.
+pub fn value_of(statement: &str) -> Vec<u8> {
+    let key = statement.split('\'').nth(1).unwrap_or_default();
+    [&[0, 0xff], key.as_bytes(), &[0x9f, 0]].concat()
+}
+
+fn put_row(out: &mut Vec<u8>, value: &[u8]) {
+    let mut columns = vec![0, 1];
+    columns.extend(b"payload\0");
+    columns.extend([0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 1]);
+    put(out, b'T', &columns);
+    let mut row = vec![0, 1];
+    row.extend((value.len() as u32).to_be_bytes());
+    row.extend(value);
+    put(out, b'D', &row);
+    put(out, b'C', b"SELECT 1\0");
+}
+
+fn put_error(out: &mut Vec<u8>, severity: &str, code: &str) {
+    put(out, b'E', format!("S{severity}\0C{code}\0Mas told\0\0").as_bytes());
+}
+
+fn put_status(out: &mut Vec<u8>, name: &str, value: &str) {
+    put(out, b'S', format!("{name}\0{value}\0").as_bytes());
+}
--- /dev/null
+++ b/crates/driver/tests/common/mod.rs
@@ -0,0 +1,49 @@
+//! A driver as a program, with this repository's own stand-ins for what is around it: members, discovery,
+//! clients. All wait for conditions, and every wait has an end.
+
+#![allow(dead_code, missing_docs)] // Each test program uses a part of it.
+
+pub mod client;
+pub mod discovery;
+pub mod driver;
+pub mod member;
+
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+pub use client::{read, write, Client};
+pub use discovery::Discovery;
+pub use driver::World;
+pub use member::{Behaviour, Member};
+
+/// Longest wait for anything: far beyond what is needed on a busy machine.
+pub const LIMIT: Duration = Duration::from_secs(30);
+
+/// Waits until the condition holds.
+pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + LIMIT;
+    while !holds() {
+        assert!(Instant::now() < end, "waited in vain: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+/// Appends a PostgreSQL message.
+pub fn put(out: &mut Vec<u8>, kind: u8, content: &[u8]) {
+    out.push(kind);
+    out.extend((content.len() as u32 + 4).to_be_bytes());
+    out.extend(content);
+}
+
+/// Takes the first whole message off the front.
+pub fn take(bytes: &mut Vec<u8>) -> Option<(u8, Vec<u8>)> {
+    let length = u32::from_be_bytes(*bytes.get(1..)?.first_chunk()?) as usize;
+    let message = bytes.get(5..1 + length)?.to_vec();
+    let kind = bytes[0];
+    bytes.drain(..1 + length);
+    Some((kind, message))
+}
--- /dev/null
+++ b/crates/driver/tests/parsers.rs
@@ -0,0 +1,256 @@
+//! The parsers, without sockets: every split, bounds, junk.
+
+use beaconshore::interface::Role;
+use beaconshore_driver::pg::{self, Backend, Broken, Frontend, Opening, Severity};
+use beaconshore_driver::{http, peers};
+
+/// Numbers that look random and are the same each time (xorshift).
+struct Numbers(u64);
+
+impl Numbers {
+    fn below(&mut self, bound: usize) -> usize {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        (self.0 % bound as u64) as usize
+    }
+
+    fn bytes(&mut self, count: usize) -> Vec<u8> {
+        (0..count).map(|_| self.below(256) as u8).collect()
+    }
+}
+
+const REQUEST: &[u8] =
+    b"/* id=9b1f03aa5c7e2d41,c=basket,d=480,k=5c0f,cluster=2,after=1767225600123 */ SELECT payload \
+    FROM entries WHERE ref = '7f3a9c21e0b4d655'";
+
+fn query(text: &[u8]) -> Vec<u8> {
+    let mut out = Vec::new();
+    pg::put_query(&mut out, &[text]);
+    out
+}
+
+#[test]
+fn every_proper_prefix_of_a_message_is_incomplete() {
+    let message = query(REQUEST);
+    for length in 0..message.len() {
+        assert_eq!(pg::frontend(&message[..length]), Ok(None), "{length}");
+    }
+    assert_eq!(pg::frontend(&message), Ok(Some((Frontend::Query(REQUEST), message.len()))));
+    let longer = [&message[..], b"X"].concat();
+    assert_eq!(pg::frontend(&longer), Ok(Some((Frontend::Query(REQUEST), message.len()))));
+
+    let mut startup = Vec::new();
+    pg::put_startup(&mut startup);
+    for length in 0..startup.len() {
+        assert_eq!(pg::opening(&startup[..length]), Ok(None), "{length}");
+    }
+    assert_eq!(pg::opening(&startup), Ok(Some((Opening::Startup, startup.len()))));
+
+    let mut answer = Vec::new();
+    pg::put_error(&mut answer, Severity::Error, "53300", "full", Some("12"));
+    for length in 0..answer.len() {
+        assert_eq!(pg::backend(&answer[..length]), Ok(None), "{length}");
+    }
+    assert_eq!(pg::backend(&answer), Ok(Some((Backend::Error(b"53300"), answer.len()))));
+}
+
+#[test]
+fn openings_are_told_apart() {
+    let opening = |code: u32| pg::opening(&[&8u32.to_be_bytes()[..], &code.to_be_bytes()].concat());
+    assert_eq!(opening(80_877_103), Ok(Some((Opening::Encryption, 8))));
+    assert_eq!(opening(80_877_104), Ok(Some((Opening::Encryption, 8))));
+    assert_eq!(opening(2 << 16), Err(Broken::Version));
+    assert_eq!(pg::opening(&[0, 0, 0, 7]), Err(Broken::Length));
+    assert_eq!(pg::opening(&[0xff, 0, 0, 0]), Err(Broken::Length));
+    let cancel = [&16u32.to_be_bytes()[..], &80_877_102u32.to_be_bytes(), &[0; 8]].concat();
+    assert_eq!(pg::opening(&cancel), Ok(Some((Opening::Cancel, 16))));
+}
+
+#[test]
+fn lengths_out_of_bounds_and_unknown_kinds_end_a_stream_at_once() {
+    let header = |kind: u8, length: usize| [&[kind][..], &(length as u32).to_be_bytes()].concat();
+    assert_eq!(pg::frontend(&header(b'Q', pg::MAX_QUERY)), Ok(None));
+    assert_eq!(pg::frontend(&header(b'Q', pg::MAX_QUERY + 1)), Err(Broken::Length));
+    assert_eq!(pg::frontend(&header(b'Q', 3)), Err(Broken::Length));
+    assert_eq!(pg::frontend(b"?"), Err(Broken::Kind(b'?')));
+    assert_eq!(pg::frontend(b"p"), Err(Broken::Kind(b'p')));
+    assert_eq!(pg::backend(&header(b'D', pg::MAX_ANSWER + 1)), Err(Broken::Length));
+    assert_eq!(pg::backend(&header(b'S', pg::MAX_ANSWER)), Err(Broken::Length));
+    // A query without its end, or with a zero byte within.
+    assert_eq!(pg::frontend(&[&header(b'Q', 5)[..], b"x"].concat()), Err(Broken::Content));
+    assert_eq!(pg::frontend(&[&header(b'Q', 7)[..], b"a\0\0"].concat()), Err(Broken::Content));
+}
+
+#[test]
+fn junk_is_told_as_broken_and_nothing_else() {
+    let mut numbers = Numbers(7);
+    for _ in 0..20_000 {
+        let length = numbers.below(80);
+        let mut bytes = numbers.bytes(length);
+        // Some of it begins like a message.
+        if length > 5 && numbers.below(2) == 0 {
+            bytes[0] = b"QSDTCEZRXP"[numbers.below(10)];
+            bytes[1..5].copy_from_slice(&(numbers.below(90) as u32).to_be_bytes());
+        }
+        for taken in [
+            pg::frontend(&bytes).map(|m| m.map(|(_, n)| n)),
+            pg::backend(&bytes).map(|m| m.map(|(_, n)| n)),
+            pg::opening(&bytes).map(|m| m.map(|(_, n)| n)),
+        ] {
+            if let Ok(Some(taken)) = taken {
+                assert!(taken > 0 && taken <= bytes.len());
+            }
+        }
+        let _ = pg::request(&bytes);
+        let _ = pg::single_value(&bytes);
+        let words = peers::decode(&bytes);
+        assert!(words.is_none_or(|words| 7 + 8 * words.len() == bytes.len()));
+        if let Ok(Some((mut response, at))) = http::head(&bytes) {
+            let _ = response.body(&bytes[at..], &mut Vec::new());
+        }
+    }
+}
+
+#[test]
+fn rows_of_one_column_have_a_value() {
+    let row = |content: &[u8]| {
+        let length = (content.len() as u32 + 4).to_be_bytes();
+        [&b"D"[..], &length, content].concat()
+    };
+    let parsed =
+        |bytes: &[u8]| pg::backend(bytes).map(|m| m.map(|(m, _)| m == Backend::DataRow(Some(b"ab"))));
+    assert_eq!(parsed(&row(b"\0\x01\0\0\0\x02ab")), Ok(Some(true)));
+    assert_eq!(pg::backend(&row(b"\0\x01\xff\xff\xff\xff")), Ok(Some((Backend::DataRow(None), 11))));
+    assert_eq!(pg::backend(&row(b"\0\x02\0\0\0\0\0\0\0\0")), Ok(Some((Backend::DataRow(None), 15))));
+    assert_eq!(parsed(&row(b"\0\x01\0\0\0\x03ab")), Err(Broken::Content));
+    assert_eq!(parsed(&row(b"\0\x01\0\0\0\x01ab")), Err(Broken::Content));
+}
+
+#[test]
+fn a_request_comment_holds_what_the_client_wants() {
+    let request = pg::request(REQUEST).unwrap();
+    assert_eq!((request.class, request.wait_ms, request.group), ("basket", 480, 2));
+    assert_eq!((request.repeat, request.keyed, request.after), (false, true, Some(1_767_225_600_123)));
+    assert_eq!(&REQUEST[request.wait_at.clone()], b"480");
+    assert_eq!(request.key, b"7f3a9c21e0b4d655");
+
+    let spaced = b" /* r=1, id=1 , c= a, d= 7 ,cluster=0,new=x */ insert into t values ('k', 'a;b') ;";
+    let request = pg::request(spaced).unwrap();
+    assert_eq!((request.class, request.wait_ms, request.repeat), ("a", 7, true));
+    assert_eq!((&spaced[request.wait_at.clone()], request.key), (&b"7"[..], &b"k"[..]));
+}
+
+#[test]
+fn statements_not_in_the_clients_form_are_told() {
+    for text in [
+        "",
+        "SELECT 1",
+        "/* id=1,c=a,d=1,cluster=0 SELECT 'k'",
+        "/* id=1,c=a,d=1,cluster=0 */",
+        "/* id=1,c=a,d=1,cluster=0 */ DROP TABLE entries",
+        "/* id=1,c=a,d=1,cluster=0 */ SELECT 1",
+        "/* id=1,c=a,d=1,cluster=0 */ SELECT 'k",
+        "/* id=1,c=a,d=1,cluster=0 */ SELECT 'k'; SELECT 'l'",
+        "/* c=a,d=1,cluster=0 */ SELECT 'k'",
+        "/* id=1,d=1,cluster=0 */ SELECT 'k'",
+        "/* id=1,c=a,cluster=0 */ SELECT 'k'",
+        "/* id=1,c=a,d=1 */ SELECT 'k'",
+        "/* id=1,c=a,d=,cluster=0 */ SELECT 'k'",
+        "/* id=1,c=a,d=-1,cluster=0 */ SELECT 'k'",
+        "/* id=1,c=a,d=+1,cluster=0 */ SELECT 'k'",
+        "/* id=1,c=a,d=99999999999,cluster=0 */ SELECT 'k'",
+        "/* id=1,c=a,d=1,d=2,cluster=0 */ SELECT 'k'",
+        "/* id=1,c=a,d=1,cluster=x */ SELECT 'k'",
+        "/* id=1,c=a,d=1,cluster=0,after=soon */ SELECT 'k'",
+        "/* id=1,c=a,d=1,cluster=0,r=2 */ SELECT 'k'",
+        "/* id=1,c=a,d=1,cluster=0,k= */ SELECT 'k'",
+        "/* id=1,c=a,d=1,cluster=0,lonely */ SELECT 'k'",
+    ] {
+        assert!(pg::request(text.as_bytes()).is_err(), "{text}");
+    }
+}
+
+#[test]
+fn report_values_are_rounded_down_to_microseconds() {
+    assert_eq!(pg::micro_units("1767225600.123"), Some(1_767_225_600_123_000));
+    assert_eq!(pg::micro_units("0.61"), Some(610_000));
+    assert_eq!(pg::micro_units("7"), Some(7_000_000));
+    assert_eq!(pg::micro_units("1.9999999"), Some(1_999_999));
+    for junk in ["", ".", "-1", "1e9", "nan", "1.-5", "99999999999999999999", "1.0x"] {
+        assert_eq!(pg::micro_units(junk), None, "{junk}");
+    }
+}
+
+const CHUNKED: &[u8] =
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nab\nc\r\n1;x=y\r\n\n\r\nA\r\n0123456789\r\n0\r\nT: 1\r\n\r\n";
+
+#[test]
+fn a_chunked_body_is_the_same_however_it_is_split() {
+    for split in 0..=CHUNKED.len() {
+        let (mut bytes, mut data, mut response) = (Vec::new(), Vec::new(), None);
+        for part in [&CHUNKED[..split], &CHUNKED[split..]] {
+            bytes.extend_from_slice(part);
+            if response.is_none() {
+                if let Some((head, taken)) = http::head(&bytes).unwrap() {
+                    response = Some(head);
+                    bytes.drain(..taken);
+                }
+            }
+            if let Some(response) = &mut response {
+                let taken = response.body(&bytes, &mut data).unwrap();
+                bytes.drain(..taken);
+            }
+        }
+        assert!(response.is_some_and(|r| r.is_done()), "{split}");
+        assert_eq!(data, b"ab\nc\n0123456789", "{split}");
+    }
+}
+
+#[test]
+fn a_plain_body_has_its_length() {
+    let text = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcd";
+    let (mut response, at) = http::head(text).unwrap().unwrap();
+    let mut data = Vec::new();
+    assert_eq!(response.body(&text[at..], &mut data), Ok(3));
+    assert!(response.is_done());
+    assert_eq!((response.status, &data[..]), (200, &b"abc"[..]));
+}
+
+#[test]
+fn heads_and_chunks_that_cannot_be_read_are_told() {
+    for text in ["FTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nnothing\r\n\r\n"] {
+        assert_eq!(http::head(text.as_bytes()), Err(http::Broken::Head), "{text}");
+    }
+    assert_eq!(http::head(&[b'a'; 9000]), Err(http::Broken::Head));
+    for body in ["x\r\n", "-1\r\n", "\r\n", "2\r\nabcd\r\n", "ffffffffffffffffff\r\n"] {
+        let (mut response, _) = http::head(CHUNKED).unwrap().unwrap();
+        assert_eq!(response.body(body.as_bytes(), &mut Vec::new()), Err(http::Broken::Chunk), "{body}");
+    }
+    let (mut response, _) = http::head(CHUNKED).unwrap().unwrap();
+    assert_eq!(response.body(&[b'1'; 400], &mut Vec::new()), Err(http::Broken::Chunk));
+}
+
+#[test]
+fn datagrams_hold_their_words_and_keep_their_bound() {
+    let word = |i: u64| peers::PeerWord {
+        tag: peers::tag(&format!("s-{i}")),
+        position: (1_767_225_600_000 + i) * 1000,
+        role: [None, Some(Role::Primary), Some(Role::Replica)][i as usize % 3],
+    };
+    let words: Vec<_> = (0..70).map(word).collect();
+    let datagrams = peers::encode(&words);
+    assert!(datagrams.iter().all(|d| d.len() <= 256));
+    let read: Vec<_> = datagrams.iter().flat_map(|d| peers::decode(d).unwrap()).collect();
+    assert_eq!(read, words);
+    let whole = &datagrams[0];
+    for length in (0..whole.len()).filter(|l| *l < 7 || (l - 7) % 8 != 0) {
+        assert_eq!(peers::decode(&whole[..length]), None, "{length}");
+    }
+    let mut other = whole.clone();
+    other[0] += 1;
+    assert_eq!(peers::decode(&other), None, "another version");
+    other[0] -= 1;
+    *other.last_mut().unwrap() |= 3;
+    assert_eq!(peers::decode(&other), None, "a role that is none");
+}
--- /dev/null
+++ b/crates/driver/tests/serving.rs
@@ -0,0 +1,194 @@
+//! Requests served, refused and failed by the program: each outcome of the protocol's table.
+
+mod common;
+
+use common::member::value_of;
+use common::{eventually, read, write, Behaviour, World};
+
+/// The `d` that a member was given.
+fn wait_of(query: &str) -> u64 {
+    query.split(",d=").nth(1).unwrap().split([',', ' ']).next().unwrap().parse().unwrap()
+}
+
+#[test]
+fn a_read_gets_what_a_member_gave() {
+    let world = World::start();
+    let text = read(2000);
+    let answer = world.client().ask(&text);
+    assert!(answer.is_served(), "{answer:?}");
+    assert_eq!(answer.values, [value_of(&text)]);
+}
+
+#[test]
+fn a_write_goes_to_the_leader_unchanged_but_for_its_wait() {
+    let world = World::start();
+    let text = write(3000);
+    assert!(world.client().ask(&text).is_served());
+    let seen = world.leader.queries().into_iter().find(|q| q.contains("INSERT")).unwrap();
+    let wait = wait_of(&seen);
+    assert!((1..=3000).contains(&wait), "{wait}");
+    assert_eq!(seen.replace(&format!(",d={wait}"), ",d=3000"), text);
+}
+
+#[test]
+fn reads_go_to_the_follower_while_it_is_fresh() {
+    let world = World::start();
+    let before = world.leader.queries().len();
+    let mut client = world.client();
+    for _ in 0..20 {
+        assert!(client.ask(&read(2000)).is_served());
+    }
+    assert!(world.follower.queries().len() >= 15, "{}", world.follower.queries().len());
+    assert!(world.leader.queries().len() - before <= 5);
+}
+
+#[test]
+fn a_lagging_follower_gets_no_reads() {
+    let world = World::start();
+    world.follower.set(|s| s.lag = std::time::Duration::from_secs(5));
+    let mut client = world.client();
+    // What it told before counts until it is over its bound.
+    eventually("reads go to the leader", || {
+        let before = world.follower.queries().len();
+        let served = (0..5).all(|_| client.ask(&read(2000)).is_served());
+        served && world.follower.queries().len() == before
+    });
+    let before = world.follower.queries().len();
+    for _ in 0..10 {
+        assert!(client.ask(&read(2000)).is_served());
+    }
+    assert_eq!(world.follower.queries().len(), before);
+}
+
+#[test]
+fn one_connection_serves_requests_one_after_another() {
+    let world = World::start();
+    let mut client = world.client();
+    // All at once: the answers come in order.
+    let texts: Vec<String> = (0..10).map(|_| read(5000)).collect();
+    let bytes: Vec<u8> = texts.iter().flat_map(|t| common::client::query(t)).collect();
+    client.send(&bytes);
+    for text in &texts {
+        assert_eq!(client.answer().unwrap().values, [value_of(text)]);
+    }
+}
+
+#[test]
+fn a_request_may_come_with_the_startup() {
+    let world = World::start();
+    let text = read(2000);
+    let mut client = common::Client::raw(world.driver.address);
+    client.send(&[common::client::startup(), common::client::query(&text)].concat());
+    assert!(client.answer().unwrap().kinds.ends_with('Z'));
+    assert_eq!(client.answer().unwrap().values, [value_of(&text)]);
+}
+
+#[test]
+fn connections_to_members_are_used_again() {
+    let world = World::start();
+    let mut client = world.client();
+    let before: usize = world.members().iter().map(|m| m.set(|s| s.connections)).sum();
+    for _ in 0..30 {
+        assert!(client.ask(&read(2000)).is_served());
+    }
+    let after: usize = world.members().iter().map(|m| m.set(|s| s.connections)).sum();
+    assert!(after - before <= 4, "{before} then {after}");
+}
+
+#[test]
+fn a_connection_closed_while_idle_is_not_used() {
+    let world = World::start();
+    world.members().iter().for_each(|m| m.behave(Behaviour::CloseAfterAnswer));
+    let mut client = world.client();
+    for _ in 0..10 {
+        let text = read(2000);
+        let answer = client.ask(&text);
+        assert_eq!(answer.values, [value_of(&text)], "{answer:?}");
+    }
+}
+
+#[test]
+fn a_write_that_the_leader_turns_away_as_no_primary_goes_to_the_new_one() {
+    let world = World::start();
+    world.leader.set(|s| s.leader = false);
+    world.follower.set(|s| s.leader = true);
+    world.leader.behave(Behaviour::Code("25006"));
+    let text = write(5000);
+    let answer = world.client().ask(&text);
+    assert!(answer.is_served(), "{answer:?}");
+    assert!(world.follower.queries().iter().any(|q| q.contains("INSERT")));
+}
+
+#[test]
+fn a_read_at_an_overfull_member_is_served_by_another() {
+    let world = World::start();
+    world.follower.behave(Behaviour::Code("53300"));
+    let answer = world.client().ask(&read(2000));
+    assert!(answer.is_served(), "{answer:?}");
+}
+
+#[test]
+fn a_safe_read_goes_on_after_an_error_a_break_and_junk() {
+    for behaviour in [
+        Behaviour::Code("XX000"),
+        Behaviour::Close,
+        Behaviour::HalfAnswer,
+        Behaviour::Garbage,
+        Behaviour::Reject("53300"),
+        Behaviour::Reject("57P03"),
+    ] {
+        let world = World::start();
+        world.follower.behave(behaviour);
+        let mut client = world.client();
+        for _ in 0..3 {
+            let text = read(3000);
+            let answer = client.ask(&text);
+            assert!(answer.is_served(), "{behaviour:?}: {answer:?}");
+            assert_eq!(answer.values, [value_of(&text)], "{behaviour:?}");
+        }
+    }
+}
+
+#[test]
+fn a_member_that_never_answers_costs_a_request_its_time_and_no_more() {
+    let world = World::start();
+    world.members().iter().for_each(|m| m.behave(Behaviour::Silent));
+    let answer = world.client().ask(&read(300));
+    assert!(answer.code.is_some(), "{answer:?}");
+    eventually("its attempt is off the wire", || world.members().iter().all(|m| m.set(|s| s.holds) == 0));
+    world.members().iter().for_each(|m| m.behave(Behaviour::Serve));
+    let mut client = world.client();
+    eventually("reads are served again", || client.ask(&read(1000)).is_served());
+}
+
+#[test]
+fn a_write_that_may_have_run_is_never_refused() {
+    let world = World::start();
+    world.members().iter().for_each(|m| m.behave(Behaviour::Close));
+    let answer = world.client().ask(&write(1000));
+    let code = answer.code.clone().unwrap_or_default();
+    assert!(!["53300", "57P03", ""].contains(&code.as_str()), "{answer:?}");
+}
+
+#[test]
+fn with_all_members_down_a_read_is_refused_with_a_time_to_come_back() {
+    let world = World::with(|_| {});
+    world.members().iter().for_each(|m| m.behave(Behaviour::Reject("57P03")));
+    let mut client = world.client();
+    eventually("a read is refused", || {
+        let answer = client.ask(&read(400));
+        answer.code.as_deref() == Some("53300") && answer.detail.is_some_and(|d| d.parse::<u32>().is_ok())
+    });
+}
+
+#[test]
+fn a_client_that_leaves_has_its_attempt_ended() {
+    let world = World::start();
+    world.members().iter().for_each(|m| m.behave(Behaviour::Silent));
+    let before = world.queries();
+    let mut client = world.client();
+    client.send(&common::client::query(&read(60_000)));
+    eventually("the request reaches a member", || world.queries() > before);
+    drop(client);
+    eventually("its attempt is off the wire", || world.members().iter().all(|m| m.set(|s| s.holds) == 0));
+}
--- /dev/null
+++ b/crates/driver/tests/troubles.rs
@@ -0,0 +1,271 @@
+//! The program when what is around it fails: the list, members, descriptors, its own end.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::client::{query, startup};
+use common::discovery::entry;
+use common::{eventually, read, write, Behaviour, Client, Member, World};
+
+#[test]
+fn a_draining_member_gets_nothing_new() {
+    let world = World::start();
+    world.discovery.tell(entry(&world.follower, "draining"));
+    let mut client = world.client();
+    eventually("reads go to the leader", || {
+        let before = world.follower.queries().len();
+        assert!(client.ask(&read(2000)).is_served());
+        world.follower.queries().len() == before
+    });
+    let before = world.follower.queries().len();
+    for _ in 0..20 {
+        assert!(client.ask(&read(2000)).is_served());
+    }
+    assert_eq!(world.follower.queries().len(), before);
+    world.discovery.tell(entry(&world.follower, "ready"));
+    eventually("it is used again", || {
+        assert!(client.ask(&read(2000)).is_served());
+        world.follower.queries().len() > before
+    });
+}
+
+/// A send that had to wait for its connection is asked about again: the member drains by then.
+#[test]
+fn a_send_that_waited_for_its_connection_does_not_reach_a_member_that_drains_by_then() {
+    let world = World::with(|config| {
+        config["settings"]["limits"]["connectTimeoutUs"] = 20_000_000.into();
+        config["settings"]["requestClasses"][0]["aimUs"] = 20_000_000.into();
+    });
+    world.follower.behave(Behaviour::CloseAfterAnswer);
+    let mut client = world.client();
+    let before = world.follower.queries().len();
+    eventually("the follower closed its connection", || {
+        client.ask(&read(2000)).is_served() && world.follower.queries().len() > before
+    });
+    world.follower.set(|s| s.welcome_pause = Duration::from_millis(500));
+    let (connections, queries) = world.follower.set(|s| (s.connections, s.queries.len()));
+    let text = read(10_000);
+    client.send(&query(&text));
+    eventually("a connection is being opened", || world.follower.set(|s| s.connections) > connections);
+    world.discovery.tell(entry(&world.follower, "draining"));
+    assert!(client.answer().unwrap().is_served());
+    assert_eq!(world.follower.queries().len(), queries);
+}
+
+#[test]
+fn a_moved_member_is_met_at_its_new_address() {
+    let world = World::start();
+    let moved = Member::start("s-follower", false);
+    world.follower.behave(Behaviour::Silent);
+    world.discovery.tell(entry(&moved, "ready"));
+    let mut client = world.client();
+    eventually("it is used at its new address", || {
+        client.ask(&read(500));
+        !moved.queries().is_empty()
+    });
+}
+
+#[test]
+fn a_lost_list_is_taken_up_again_from_its_version() {
+    let world = World::start();
+    world.discovery.set(|s| s.garble = true);
+    eventually("the loss is told", || world.driver.logged("is lost"));
+    eventually("the list is back", || world.driver.logged("is back"));
+    world.discovery.tell(entry(&world.follower, "draining"));
+    let mut client = world.client();
+    eventually("changes arrive again", || {
+        let before = world.follower.queries().len();
+        client.ask(&read(2000)).is_served() && world.follower.queries().len() == before
+    });
+}
+
+#[test]
+fn with_discovery_silent_from_the_start_the_list_last_known_serves() {
+    let leader = Member::start("s-leader", true);
+    let discovery = common::Discovery::start(std::slice::from_ref(&leader));
+    discovery.set(|s| s.silent = true);
+    let driver = common::driver::Driver::start(common::driver::config(&discovery));
+    let mut client = Client::connect(driver.address);
+    eventually("reads are served", || client.ask(&read(2000)).is_served());
+    eventually("the loss is told", || driver.logged("is lost"));
+    discovery.set(|s| s.silent = false);
+    eventually("the list is back", || driver.logged("is back"));
+}
+
+#[test]
+fn junk_in_a_members_own_words_is_passed_over() {
+    let world = World::start();
+    let lies = [
+        ("node_role", "emperor"),
+        ("replay_position", "-5"),
+        ("replay_position", "99999999999999999999999"),
+        ("server_load", "x0=,x1=maybe,=,x0=1e400"),
+        ("server_load", "x0=99999999999.5,x1=7"),
+    ];
+    let lies: Vec<_> = lies.map(|(name, value)| (name, value.to_string())).into();
+    world.members().iter().for_each(|m| m.set(|s| s.lies = lies.clone()));
+    let mut client = world.client();
+    for _ in 0..20 {
+        assert!(client.ask(&read(2000)).is_served());
+    }
+    assert!(client.ask(&write(3000)).is_served());
+}
+
+#[test]
+fn bad_input_harms_its_own_connection_only() {
+    let mut world = World::start();
+    let before = world.queries();
+    let mut good = world.client();
+    for junk in [
+        &b"GET / HTTP/1.1\r\n\r\n"[..],
+        &[0, 0, 0, 0],
+        &[0xff; 64],
+        &[&startup()[..], b"?????"].concat(),
+        &[&startup()[..], &[b'Q', 0x7f, 0xff, 0xff, 0xff]].concat(),
+        &[&startup()[..], &[b'Q', 0, 0, 0, 1]].concat(),
+    ] {
+        let mut client = Client::raw(world.driver.address);
+        client.send(junk);
+        while client.answer().is_ok() {}
+    }
+    let mut client = world.client();
+    for text in [
+        "SELECT 1".to_string(),
+        "SET x = 1".to_string(),
+        read(500).replace("c=view", "c=unknown"),
+        read(500).replace("d=500", "d=soon"),
+        write(500).replace(",k=", ",q="),
+        format!("{}; SELECT 'x'", read(500)),
+    ] {
+        let answer = client.ask(&text);
+        assert_eq!(answer.kinds, "EZ", "{text}: {answer:?}");
+        let code = answer.code.unwrap();
+        assert!(code != "53300" && code != "57P03", "{text}: {code}");
+    }
+    // The extended protocol: an error, then nothing up to Sync.
+    let mut extended = Vec::new();
+    common::put(&mut extended, b'P', b"\0SELECT 1\0\0\0");
+    common::put(&mut extended, b'D', b"S\0");
+    common::put(&mut extended, b'S', b"");
+    client.send(&extended);
+    let answer = client.answer().unwrap();
+    assert_eq!((answer.kinds.as_str(), answer.code.as_deref()), ("EZ", Some("0A000")));
+    assert_eq!(world.queries(), before, "none of it reached a member");
+    assert!(good.ask(&read(2000)).is_served());
+    assert!(client.ask(&read(2000)).is_served());
+    assert!(world.driver.is_running());
+}
+
+#[test]
+fn a_group_that_nobody_listed_is_refused() {
+    let world = World::start();
+    let answer = world.client().ask(&read(300).replace("cluster=0", "cluster=9"));
+    assert_eq!(answer.code.as_deref(), Some("53300"), "{answer:?}");
+}
+
+#[test]
+fn encryption_is_declined_and_a_cancel_request_closed() {
+    use std::io::Read;
+    let world = World::start();
+    let mut client = Client::raw(world.driver.address);
+    client.send(&[0, 0, 0, 8, 0x04, 0xd2, 0x16, 0x2f]);
+    let mut byte = [0];
+    client.stream.read_exact(&mut byte).unwrap();
+    assert_eq!(byte, [b'N']);
+    client.send(&startup());
+    assert!(client.answer().unwrap().kinds.ends_with('Z'));
+    assert!(client.ask(&read(2000)).is_served());
+
+    let mut client = Client::raw(world.driver.address);
+    client.send(&[0, 0, 0, 16, 0x04, 0xd2, 0x16, 0x2e, 0, 0, 0, 1, 0, 0, 0, 1]);
+    assert_eq!(client.stream.read(&mut byte).unwrap(), 0);
+}
+
+#[test]
+fn short_of_descriptors_idle_clients_make_room_and_busy_ones_are_kept() {
+    let world = World::with(|config| config["limits"]["sockets"] = 60.into());
+    let mut clients: Vec<Client> = Vec::new();
+    for _ in 0..60 {
+        let mut client = world.client();
+        assert!(client.ask(&read(5000)).is_served());
+        clients.push(client);
+    }
+    assert!(world.driver.descriptors() <= 60, "{}", world.driver.descriptors());
+    // The newest one was used last and is still there.
+    assert!(clients.last_mut().unwrap().ask(&read(5000)).is_served());
+}
+
+#[test]
+fn a_client_that_stalls_holds_up_no_other() {
+    let world = World::start();
+    let mut half = world.client();
+    let text = query(&read(2000));
+    half.send(&text[..text.len() / 2]);
+    let mut client = world.client();
+    for _ in 0..5 {
+        assert!(client.ask(&read(2000)).is_served());
+    }
+    half.send(&text[text.len() / 2..]);
+    assert!(half.answer().unwrap().is_served());
+}
+
+#[test]
+fn asked_to_stop_it_answers_what_it_took_and_what_still_comes_then_ends_well() {
+    let mut world = World::start();
+    world.members().iter().for_each(|m| m.set(|s| s.pause = Duration::from_millis(300)));
+    let mut idle = world.client();
+    let mut busy = world.client();
+    let before = world.queries();
+    busy.send(&query(&read(5000)));
+    eventually("the request is under way", || world.queries() > before);
+    world.driver.signal("TERM");
+    eventually("the signal is seen", || world.driver.logged("stopping"));
+    // New connections still come for a moment.
+    let mut late = world.client();
+    assert!(late.ask(&read(5000)).is_served());
+    assert!(busy.answer().unwrap().is_served());
+    let asked = Instant::now();
+    assert!(world.driver.ended().success());
+    assert!(asked.elapsed() < Duration::from_secs(20));
+    assert!(idle.answer().is_err(), "closed between requests");
+}
+
+#[test]
+fn a_driver_that_was_killed_starts_again_at_its_address() {
+    let world = World::start();
+    let config = world.driver.config.clone();
+    world.driver.signal("KILL");
+    let World { leader: _leader, follower: _follower, discovery: _discovery, driver } = world;
+    drop(driver);
+    let driver = common::driver::Driver::start(config);
+    let mut client = Client::connect(driver.address);
+    eventually("reads are served", || client.ask(&read(2000)).is_served());
+}
+
+#[test]
+fn a_configuration_that_cannot_be_read_ends_it_with_one_plain_line() {
+    use std::io::Read;
+    for text in ["", "{}", "{\"name\":3}", "no json"] {
+        let (mut child, file) = common::driver::spawn(text);
+        let mut said = String::new();
+        child.stderr.take().unwrap().read_to_string(&mut said).unwrap();
+        let status = child.wait().unwrap();
+        let _ = std::fs::remove_file(file);
+        assert!(!status.success(), "{text:?}");
+        assert_eq!(said.lines().count(), 1, "{text:?}: {said}");
+        assert!(said.starts_with("beaconshore: configuration"), "{said}");
+    }
+}
+
+#[test]
+fn a_watch_that_falls_silent_is_given_up() {
+    let world = World::start();
+    world.discovery.set(|s| s.silent = true);
+    eventually("the loss is told", || world.driver.logged("is lost"));
+    let mut client = world.client();
+    assert!(client.ask(&read(2000)).is_served());
+    world.discovery.set(|s| s.silent = false);
+    eventually("the list is back", || world.driver.logged("is back"));
+    assert!(world.discovery.set(|s| s.asked.iter().filter(|a| a.contains("watch=1&from=1")).count() >= 2));
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -19,8 +19,6 @@
 const NEWS: u64 = 2;
 /// Consecutive failures after which a member is dropped (the design's default).
 const DROP_FAILURES: u32 = 3;
-/// Open attempts that a member may have from here before anything is known of it.
-const FIRST_LIMIT: f64 = 3.0;
 /// Share of a member's limit on open attempts that reads may take at a primary; the rest is for writes.
 const READ_SHARE: f64 = 0.6;
 /// Share of an aim, less three times the work, that waiting may take on average.
@@ -33,8 +31,8 @@
 const SPARSE: f64 = 1e6;
 /// With this share of attempts refused a connection, members have few: none is then held idle.
 const SCARCE: f64 = 0.02;
-/// Open attempts that all routers together may have at a member whatever it answers.
-const LEAST_OPEN: f64 = 3.0;
+/// Open attempts: of one router at a member it knows nothing of, of all routers at any, whatever it answers.
+const FIRST_LIMIT: f64 = 3.0;
 /// Share of these for a member that does not answer: a test now and then, by each router's own traffic.
 const SILENT_SHARE: f64 = 0.02;
 /// Time in which a limit under one doubles without news, in microseconds.
@@ -306,7 +304,7 @@
         out.extend((m.open.is_empty() && self.refused > SCARCE).then_some(Action::CloseIdle(id)));
         let service = &mut self.services[attempt.class];
         let aim = self.settings.classes[attempt.class].aim as f64;
-        let least = (LEAST_OPEN / f64::from(self.settings.routers.max(1))).min(1.0);
+        let least = (FIRST_LIMIT / f64::from(self.settings.routers.max(1))).min(1.0);
         let strain = match outcome {
             Outcome::Served | Outcome::TimedOut => (ended.took as f64 - service.base) / service.spare(aim),
             Outcome::Full => 3.0,
@@ -367,20 +365,17 @@
         if request.class >= self.settings.classes.len() {
             return out.push(Action::Fail(request.id));
         }
-        let told = request.last_write_ago.map(|ago| self.now.saturating_sub(ago));
-        let forgotten = self.now.saturating_sub(SESSION_MEMORY);
         let remembered = request.session.and_then(|s| self.sessions.get(&s)).copied();
         let floor = match self.settings.session_marks {
-            SessionMarks::Client => told.unwrap_or(0),
-            SessionMarks::Router => remembered.unwrap_or(forgotten),
+            SessionMarks::Client => request.last_write_ago.map_or(0, |ago| self.now.saturating_sub(ago)),
+            SessionMarks::Router => remembered.unwrap_or(self.now.saturating_sub(SESSION_MEMORY)),
         };
         let (class, group, session, repeat) = (request.class, request.group, request.session, request.repeat);
         let (ends, lot) = (self.now + request.budget, self.draw(u64::MAX));
-        let service = &mut self.services[class];
+        let usual = self.services[class].vote(request.budget, self.tick);
         // First tries all get the same time, a last one what is left of the deadline: one of another length
         // tells how long ago the client first asked. Shorter may also mean that a first try came late.
-        let (usual, deadline) =
-            (service.vote(request.budget, self.tick), self.settings.classes[class].deadline);
+        let deadline = self.settings.classes[class].deadline;
         let age = match request.budget {
             budget if budget.abs_diff(usual) <= self.tick => 0,
             budget if repeat || budget > usual => deadline.saturating_sub(budget),
@@ -450,14 +445,12 @@
         if matches!(consistency, Consistency::Write | Consistency::Fresh) {
             return primary.filter(|p| self.has_room(held, p)).map(|p| p.id);
         }
-        let untried = |m: &&Member| !self.is_primary(m) && !held.tried.contains(&m.id);
-        let replicas = self.group_members(held.group).filter(untried);
-        let eligible: Vec<&Member> = replicas.filter(|m| self.may_send(held, m)).collect();
+        let fit = |m: &&Member| !self.is_primary(m) && !held.tried.contains(&m.id) && self.may_send(held, m);
+        let eligible: Vec<&Member> = self.group_members(held.group).filter(fit).collect();
         if let Some(suspect) = eligible.iter().find(|m| m.silent && self.has_room(held, m)) {
             return Some(suspect.id);
         }
-        let good = |m: &&&Member| self.is_good(m);
-        let responsive = eligible.iter().any(|m| good(&m)) || primary.is_some_and(|p| good(&&p));
+        let responsive = eligible.iter().copied().chain(primary).any(|m| self.is_good(m));
         // One that was not known to lag is about to say how fresh it is; a fresh router waits for the first.
         let awaited = |m: &Member| m.probe_out && self.now < m.probe_sent + PROBE_HOLD && !self.lagged(m);
         if eligible.is_empty() && self.group_members(held.group).any(awaited) {
@@ -466,7 +459,7 @@
         // No eligible one has room: the primary, as far as writes spare it.
         let spill = || primary.filter(|p| self.has_room(held, p)).map(|p| p.id);
         let suspects = || self.next_turn(held, eligible.iter().filter(|_| !responsive));
-        self.next_turn(held, eligible.iter().filter(good)).or_else(spill).or_else(suspects)
+        self.next_turn(held, eligible.iter().filter(|m| self.is_good(m))).or_else(spill).or_else(suspects)
     }
 
     /// Own zone first, then rotation; one at its limit passes its turn. Any reads that take longer than the
@@ -482,8 +475,7 @@
     /// Whether a member's limit leaves room: less for reads at a primary, and for what can earn less there.
     fn has_room(&self, held: &Held, m: &Member) -> bool {
         let share = if !self.is_write(held.class) && self.is_primary(m) { READ_SHARE } else { 1.0 };
-        let share = share * self.value(held);
-        let limit = m.present_limit(self.now) * share * self.warmth(m);
+        let limit = m.present_limit(self.now) * share * self.value(held) * self.warmth(m);
         if limit >= 1.0 && self.is_good(m) {
             return (m.open.len() as f64) < limit;
         }
@@ -517,10 +509,22 @@
 
     /// Rules 1 to 5, as far as they bind a send.
     fn may_send(&self, held: &Held, m: &Member) -> bool {
-        let in_time = self.now < held.ends && held.tried.len() < self.settings.limits.max_attempts as usize;
+        let room = self.warmth(m) >= 1.0 || self.cold_room(held, m);
+        held.out.is_none() && room && self.may_go(held, m)
+    }
+
+    /// The same for a send that is under way, as far as time and news may have changed it.
+    fn may_go(&self, held: &Held, m: &Member) -> bool {
         let fresh = self.is_primary(m) || self.is_fresh(held, m);
-        let placed = !m.barred && m.group == held.group && (self.warmth(m) >= 1.0 || self.cold_room(held, m));
-        placed && fresh && held.out.is_none() && in_time && self.may_repeat(held, Some(m))
+        !m.barred && m.group == held.group && fresh && self.now < held.ends && self.may_repeat(held, Some(m))
+    }
+
+    /// Asked where a send had to wait (for a connection, for room to write): whether it may still go out. By
+    /// then its member may drain or be no primary, or its replica's known position be too old.
+    pub fn confirm(&mut self, now: Micros, request: RequestId, to: MemberId) -> bool {
+        self.now = now;
+        let found = self.held.get(&request).zip(self.members.get(&to));
+        found.is_some_and(|(held, m)| self.may_go(held, m))
     }
 
     /// Rule 2: whether a request may be sent again, to this member if one is given.
@@ -715,8 +719,7 @@
 impl Service {
     /// Until answers come, a class is taken to need a quarter of its aim.
     fn new(aim: f64) -> Self {
-        let mean = aim / 4.0;
-        Service { mean, base: mean, budget: 0, votes: 0 }
+        Service { mean: aim / 4.0, base: aim / 4.0, budget: 0, votes: 0 }
     }
 
     fn vote(&mut self, budget: Micros, slack: Micros) -> Micros {
--- a/tests/rules_kept.rs
+++ b/tests/rules_kept.rs
@@ -251,3 +251,47 @@
     let (fresh, actions) = stage.ask(WRITE);
     assert_eq!(sent(&actions, fresh), Some(3), "a write that never ran may go there");
 }
+
+#[test]
+fn a_send_that_waited_is_withdrawn_once_its_member_drains() {
+    let mut stage = Stage::new();
+    let (id, actions) = stage.ask(READ);
+    assert_eq!(sent(&actions, id), Some(2));
+    assert!(stage.router.confirm(stage.now, id, MemberId(2)));
+    stage.list(ListKind::Delta, &[Entry { listed: Listed::Draining, ..entry(2, 0, false) }]);
+    assert!(!stage.router.confirm(stage.now, id, MemberId(2)));
+    let actions = stage.ended(id, 2, Outcome::Moot, Note::default());
+    assert_eq!(sent(&actions, id), Some(3), "it goes elsewhere instead");
+}
+
+#[test]
+fn a_send_that_waited_is_withdrawn_once_the_known_position_is_too_old() {
+    let mut stage = Stage::new();
+    let (id, actions) = stage.ask(READ);
+    assert_eq!(sent(&actions, id), Some(2));
+    stage.now += BOUND - 2 * MS;
+    assert!(stage.router.confirm(stage.now, id, MemberId(2)));
+    stage.now += 2 * MS;
+    assert!(!stage.router.confirm(stage.now, id, MemberId(2)));
+}
+
+#[test]
+fn a_send_that_waited_is_withdrawn_once_the_member_says_that_it_is_no_primary() {
+    let mut stage = Stage::new();
+    let (id, actions) = stage.ask(WRITE);
+    assert_eq!(sent(&actions, id), Some(1));
+    stage.now += 10 * MS;
+    stage.probed(1, stage.now, false);
+    assert!(!stage.router.confirm(stage.now, id, MemberId(1)));
+}
+
+#[test]
+fn a_send_that_waited_is_withdrawn_once_its_time_or_its_client_is_gone() {
+    let mut stage = Stage::new();
+    let (id, _) = stage.ask_with(WRITE, 300 * MS, |_| {});
+    assert!(!stage.router.confirm(stage.now + 300 * MS, id, MemberId(1)));
+    let (id, _) = stage.ask(WRITE);
+    assert!(stage.router.confirm(stage.now, id, MemberId(1)));
+    stage.event(Event::HungUp(id));
+    assert!(!stage.router.confirm(stage.now, id, MemberId(1)));
+}
