--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -305,9 +305,9 @@
     let driver_bytes = driver.to_le_bytes();
     let micros = |us: u64| u32::try_from(us).unwrap_or(u32::MAX).to_le_bytes();
     match action {
-        Action::Send { request, member, timeout } => reply.record(
+        Action::Send { request, member } => reply.record(
             code::DISPATCH,
-            &[&driver_bytes, &request.0.to_le_bytes(), &member.0.to_le_bytes(), &micros(*timeout)],
+            &[&driver_bytes, &request.0.to_le_bytes(), &member.0.to_le_bytes(), &micros(0)],
         ),
         Action::Refuse { request, retry_after } => {
             reply.record(code::BUSY, &[&driver_bytes, &request.0.to_le_bytes(), &micros(*retry_after)]);
--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -99,7 +99,7 @@
     clients: Rc<Clients>,
     stream: Async<TcpStream>,
     buffer: Buffer,
-    /// When the newest bytes came.
+    /// When the newest bytes came, at the earliest.
     read_at: Micros,
     sender: Sender<ClientMail>,
     mailbox: Receiver<ClientMail>,
@@ -178,6 +178,8 @@
             if !out.is_empty() {
                 self.write(&out).await?;
             }
+            // One that sends without end what needs no answer is not to hold up the others.
+            future::yield_now().await;
         }
     }
 
@@ -275,7 +277,7 @@
             Wake::Mail(ClientMail::Close) => {
                 // What has come meanwhile is served before the connection ends.
                 let read = future::poll_once(self.buffer.fill(&mut self.stream)).await;
-                self.read_at = clients.node.clock.now();
+                self.note_read();
                 read.map_or(Ok(false), |read| Ok(read? > 0))
             }
             Wake::Mail(ClientMail::Answer(..)) => {
@@ -300,11 +302,16 @@
         };
         let wake = future::or(mail, input).await;
         if let Wake::Input(_) = wake {
-            self.read_at = self.clients.node.clock.now();
+            self.note_read();
         }
         wake
     }
 
+    fn note_read(&mut self) {
+        let node = &self.clients.node;
+        self.read_at = node.pulse.came(node.clock.now());
+    }
+
     async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         let late = async {
             Timer::after(WRITE_WAIT).await;
--- a/crates/driver/src/descriptors.rs
+++ b/crates/driver/src/descriptors.rs
@@ -56,9 +56,6 @@
 
     /// Waits for a place; the longest idle connection is asked to go, or else the first that is idle again.
     pub async fn take(&self) -> Permit {
-        if let Some(permit) = self.try_take() {
-            return permit;
-        }
         self.close_longest();
         let _waits = Waits::new(&self.waiting);
         self.free.acquire_arc().await
--- a/crates/driver/src/discovery.rs
+++ b/crates/driver/src/discovery.rs
@@ -152,6 +152,7 @@
             if self.body.len() > MAX_LISTING {
                 return Err(End::TooLong);
             }
+            future::yield_now().await;
             let read = async { self.buffer.fill(&mut self.stream).await.map_err(End::Io) };
             if in_time(read).await? == 0 {
                 let whole = self.response.ends_with_connection() && !is_watch;
--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod module;
 pub mod peers;
 pub mod pg;
+pub mod pulse;
 pub mod shutdown;
 pub mod stats;
 
@@ -33,9 +34,10 @@
 pub use config::Config;
 
 use clock::Clock;
-use descriptors::Descriptors;
+use descriptors::{Descriptors, Permit, Places};
 use module::Module;
-use stats::Stats;
+use pulse::Pulse;
+use stats::{Counter, Stats};
 
 /// What all actors of one driver have in common.
 pub struct Node {
@@ -44,10 +46,22 @@
     site: Site,
     descriptors: Descriptors,
     stats: Stats,
+    pulse: Pulse,
     requests: Cell<u64>,
 }
 
 impl Node {
+    /// Waits for a place for a connection.
+    async fn place(&self, places: &Places) -> Permit {
+        match places.try_take() {
+            Some(place) => place,
+            None => {
+                self.stats.count(Counter::Short);
+                places.take().await
+            }
+        }
+    }
+
     /// Starts an actor that ends by itself.
     fn spawn(&self, actor: impl Future<Output = ()> + 'static) {
         self.executor.spawn(actor).detach();
@@ -69,6 +83,7 @@
         site: config.settings.clone(),
         descriptors: Descriptors::divide(config.limits.sockets),
         stats: Stats::default(),
+        pulse: Pulse::default(),
         requests: Cell::new(0),
     });
     info!("{} listens at {}, {} members known", config.name, config.listen, config.known.instances.len());
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -62,19 +62,14 @@
 
 impl Attempt {
     /// Whether the module still wants this sent, asked after a wait.
-    async fn confirm(&self, node: &Node, module: &ModuleHandle, to: MemberId) -> bool {
-        let confirmed = module.confirm(self.request, to).await;
-        if !confirmed {
-            node.stats.count(Counter::Withdrawn);
-        }
-        confirmed
+    async fn confirm(&self, module: &ModuleHandle, to: MemberId) -> bool {
+        module.confirm(self.request, to).await
     }
 
     /// Writes the query. Where the connection takes only part of it, the rest goes out only if the module still
     /// wants it once there is room; a query that is cut short never runs.
     async fn write(
         &self,
-        node: &Node,
         module: &ModuleHandle,
         to: MemberId,
         stream: &Async<TcpStream>,
@@ -86,7 +81,7 @@
                 Ok(count) => query = &query[count..],
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     stream.writable().await.map_err(|_| Outcome::Unreachable)?;
-                    if !self.confirm(node, module, to).await {
+                    if !self.confirm(module, to).await {
                         return Err(Outcome::Moot);
                     }
                 }
@@ -347,7 +342,7 @@
     let mut connection = match idle {
         Some(connection) => connection,
         None => match within(Some(ends), open(node, address)).await {
-            Some(Ok(connection)) if attempt.confirm(node, module, id).await => connection,
+            Some(Ok(connection)) if attempt.confirm(module, id).await => connection,
             Some(Ok(connection)) => return (Reply::without_answer(Outcome::Moot), Some(connection)),
             Some(Err(outcome)) => return (Reply::without_answer(outcome), None),
             // Its own time ran out: that says nothing of the member.
@@ -357,7 +352,7 @@
     // The member need not hear of the last part of a millisecond.
     let wait_ms = attempt.ends.saturating_sub(node.clock.now()).div_ceil(1000);
     let query = attempt.statement.query(wait_ms);
-    match within(Some(ends), attempt.write(node, module, id, &connection.stream, &query)).await {
+    match within(Some(ends), attempt.write(module, id, &connection.stream, &query)).await {
         Some(Ok(())) => {}
         Some(Err(outcome)) => return (Reply::without_answer(outcome), None),
         None => return (Reply::without_answer(Outcome::Moot), None),
@@ -404,7 +399,7 @@
 async fn open(node: &Node, address: SocketAddr) -> Result<Connection, Outcome> {
     let limit = Instant::now() + Duration::from_micros(node.site.dialect.connect_timeout);
     let open = async {
-        let place = node.descriptors.members.take().await;
+        let place = node.place(&node.descriptors.members).await;
         node.stats.count(Counter::Connects);
         let stream = Async::<TcpStream>::connect(address).await.map_err(|_| Outcome::Unreachable)?;
         let _ = stream.get_ref().set_nodelay(true);
@@ -437,6 +432,7 @@
                     return Ok(());
                 }
             }
+            future::yield_now().await;
             if self.buffer.fill(&mut self.stream).await.map_or(true, |count| count == 0) {
                 return Err(Outcome::Unreachable);
             }
@@ -482,6 +478,8 @@
                     return (Reply { outcome, answer, told }, true);
                 }
             }
+            // One that speaks without end is not to hold up the others.
+            future::yield_now().await;
             // After a fatal error, or with all but the last message there, what has come is the outcome.
             if self.buffer.fill(&mut self.stream).await.map_or(true, |count| count == 0) {
                 return (Reply { outcome, answer, told }, false);
--- a/crates/driver/src/module.rs
+++ b/crates/driver/src/module.rs
@@ -28,7 +28,9 @@
 
 /// Lists that may wait; discovery waits with more, the module never waits for discovery.
 const LISTS: usize = 4;
-/// Overdue requests are looked for at every so many timers.
+/// Datagrams that may wait; further ones are dropped, as datagrams may be.
+const DATAGRAMS: usize = 64;
+/// Overdue requests are looked for this often.
 const SWEEP: Micros = 100_000;
 /// An answer owed for this long after its time is overdue.
 const OVERDUE: Micros = 20_000;
@@ -45,8 +47,6 @@
     ProbeEnded(MemberId, Outcome, Report),
     /// Whether a send that had to wait may still go out.
     Confirm(RequestId, MemberId, Sender<bool>),
-    /// What another driver heard from members.
-    Told(Vec<PeerWord>),
 }
 
 /// A request as its client's actor read it.
@@ -94,6 +94,7 @@
 pub struct ModuleHandle {
     mail: Sender<Mail>,
     lists: Sender<Listing>,
+    words: Sender<Vec<PeerWord>>,
 }
 
 impl ModuleHandle {
@@ -109,6 +110,11 @@
         answer.recv().await.unwrap_or(false)
     }
 
+    /// Passes on what another driver heard from members; false if there is no room.
+    pub fn tell(&self, words: Vec<PeerWord>) -> bool {
+        self.words.try_send(words).is_ok()
+    }
+
     /// Sends the list, which is handled before all other mail.
     pub async fn list(&self, listing: Listing) {
         let _ = self.lists.send(listing).await;
@@ -137,6 +143,7 @@
     router: Router,
     mail: Receiver<Mail>,
     lists: Receiver<Listing>,
+    words: Receiver<Vec<PeerWord>>,
     handle: ModuleHandle,
     peers: Option<Sender<Vec<PeerWord>>>,
     open: HashMap<RequestId, Open>,
@@ -152,11 +159,13 @@
     pub fn new(node: Rc<Node>, config: &Config, peers: Option<&Peers>) -> (Self, ModuleHandle) {
         let (mail_sender, mail) = async_channel::unbounded();
         let (list_sender, lists) = async_channel::bounded(LISTS);
-        let handle = ModuleHandle { mail: mail_sender, lists: list_sender };
+        let (word_sender, words) = async_channel::bounded(DATAGRAMS);
+        let handle = ModuleHandle { mail: mail_sender, lists: list_sender, words: word_sender };
         let router = Router::new(node.site.settings.clone(), config.seed, node.clock.now());
         let (open, members, ids, due, swept) = Default::default();
         let (peers, given) = (peers.map(Peers::mailbox), handle.clone());
-        let module = Module { node, router, mail, lists, handle, peers, open, members, ids, due, swept };
+        let module =
+            Module { node, router, mail, lists, words, handle, peers, open, members, ids, due, swept };
         (module, given)
     }
 
@@ -165,10 +174,11 @@
         enum Next {
             List(Listing),
             Mail(Mail),
+            Words(Vec<PeerWord>),
             Timer,
         }
         self.on_list(ListKind::Cached, known);
-        let (mail, lists) = (self.mail.clone(), self.lists.clone());
+        let (lists, mail, words) = (self.lists.clone(), self.mail.clone(), self.words.clone());
         let mut timer = Timer::never();
         let mut set = None;
         loop {
@@ -184,17 +194,22 @@
                 (&mut timer).await;
                 Ok(Next::Timer)
             };
+            let mail = async { mail.recv().await.map(Next::Mail) };
+            let words = async { words.recv().await.map(Next::Words) };
             // What binds goes first; a timer that is due is not to wait for an empty mailbox.
-            let next = future::or(list, future::or(due, async { mail.recv().await.map(Next::Mail) })).await;
-            match next {
+            match future::or(list, future::or(due, future::or(mail, words))).await {
                 Err(_) => return,
                 Ok(Next::List(listing)) => {
                     let kind = if listing.reset { ListKind::Full } else { ListKind::Delta };
                     self.on_list(kind, listing);
                 }
                 Ok(Next::Mail(mail)) => self.on_mail(mail),
+                Ok(Next::Words(words)) => self.on_words(&words),
                 Ok(Next::Timer) => {
                     (self.due, set) = (None, None);
+                    if self.node.pulse.beat(self.node.clock.now()) {
+                        self.node.stats.count(Counter::Standstills);
+                    }
                     self.handle(&Event::Timer);
                     self.sweep();
                 }
@@ -213,13 +228,14 @@
             Mail::Confirm(request, member, reply) => {
                 let _ = reply.try_send(self.router.confirm(self.node.clock.now(), request, member));
             }
-            Mail::Told(words) => {
-                let words: Vec<Word> = words.iter().filter_map(|w| self.word(w)).collect();
-                self.handle(&Event::Told(words));
-            }
         }
     }
 
+    fn on_words(&mut self, words: &[PeerWord]) {
+        let words: Vec<Word> = words.iter().filter_map(|w| self.word(w)).collect();
+        self.handle(&Event::Told(words));
+    }
+
     // ---- Messages to events ----
 
     fn on_list(&mut self, kind: ListKind, listing: Listing) {
@@ -292,6 +308,18 @@
             let was_out = open.out.take();
             self.node.stats.check(was_out == Some(member), "an attempt that ends was out");
         }
+        let counter = match outcome {
+            Outcome::Error => Some(Counter::Errors),
+            Outcome::Full => Some(Counter::TurnedAway),
+            Outcome::Misplaced => Some(Counter::Misplaced),
+            Outcome::Unreachable => Some(Counter::Unreachable),
+            Outcome::Reset => Some(Counter::Resets),
+            Outcome::TimedOut => Some(Counter::TimedOut),
+            Outcome::Moot => Some(Counter::Unsent),
+            // Counted with the request.
+            Outcome::Served | Outcome::Cancelled => None,
+        };
+        counter.into_iter().for_each(|counter| self.node.stats.count(counter));
         if outcome == Outcome::Served {
             self.answer(request, Answer::Served(answer));
         }
@@ -321,13 +349,16 @@
 
     fn perform(&mut self, now: Micros, action: Action) {
         match action {
-            Action::Send { request, member, .. } => self.send(now, request, member),
+            Action::Send { request, member } => self.send(now, request, member),
             Action::Refuse { request, retry_after } => self.answer(request, Answer::Refused(retry_after)),
             Action::Fail(request) => self.answer(request, Answer::Failed),
             Action::CloseIdle(member) => self.mail_member(member, MemberMail::CloseIdle),
             Action::Probe(member) => self.mail_member(member, MemberMail::Probe),
             Action::Tell(words) => self.tell(&words),
-            Action::SetTimer(after) => self.due = Some(self.node.clock.instant(now + after)),
+            Action::SetTimer(after) => {
+                self.due = Some(self.node.clock.instant(now + after));
+                self.node.pulse.expect(now, now + after);
+            }
             // The watch is always on.
             Action::Subscribe => {}
             Action::Log(line) => info!("{line}"),
--- a/crates/driver/src/peers.rs
+++ b/crates/driver/src/peers.rs
@@ -14,7 +14,7 @@
 use futures_lite::future;
 
 use crate::config::Config;
-use crate::module::{Mail, ModuleHandle};
+use crate::module::ModuleHandle;
 use crate::stats::Counter;
 use crate::Node;
 
@@ -146,13 +146,11 @@
             if Some(from) == self.own {
                 continue;
             }
-            match decode(&bytes[..length]).filter(|_| self.others.contains(&from)) {
-                Some(words) => {
-                    self.node.stats.count(Counter::Heard);
-                    module.send(Mail::Told(words));
-                }
-                None => self.node.stats.count(Counter::Dropped),
-            }
+            let words = decode(&bytes[..length]).filter(|_| self.others.contains(&from));
+            let heard = words.is_some_and(|words| module.tell(words));
+            self.node.stats.count(if heard { Counter::Heard } else { Counter::Dropped });
+            // A flood of them is not to hold up the rest.
+            future::yield_now().await;
         }
     }
 }
--- a/crates/driver/src/shutdown.rs
+++ b/crates/driver/src/shutdown.rs
@@ -59,7 +59,7 @@
 async fn accept(node: &Rc<Node>, listener: &Async<TcpListener>, clients: &Rc<Clients>) {
     let mut failing = false;
     loop {
-        let place = node.descriptors.clients.take().await;
+        let place = node.place(&node.descriptors.clients).await;
         match listener.accept().await {
             Ok((stream, _)) => {
                 failing = false;
--- a/crates/driver/src/stats.rs
+++ b/crates/driver/src/stats.rs
@@ -11,36 +11,69 @@
 const PERIOD: Duration = Duration::from_secs(10);
 
 macro_rules! counters {
-    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
+    ($($(#[$doc:meta])* $name:ident = $text:literal),* $(,)?) => {
         /// What is counted.
         #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-        #[allow(missing_docs)]
         pub enum Counter { $($(#[$doc])* $name),* }
-        const NAMES: &[&str] = &[$(stringify!($name)),*];
+        const NAMES: &[&str] = &[$($text),*];
     };
 }
 
 counters!(
-    Accepted,
-    Requests,
-    Served,
-    Refused,
-    Failed,
-    HungUp,
-    BadRequests,
-    BadStreams,
-    Attempts,
-    Connects,
-    Reused,
-    Probes,
-    Withdrawn,
-    Lists,
-    Watches,
-    Told,
-    Heard,
-    Dropped,
-    Short,
-    Breaches,
+    /// Connections of clients.
+    Accepted = "accepted",
+    /// Requests taken.
+    Requests = "requests",
+    /// Requests answered with what a member gave.
+    Served = "served",
+    /// Requests refused.
+    Refused = "refused",
+    /// Requests failed.
+    Failed = "failed",
+    /// Requests whose client left first.
+    HungUp = "hung_up",
+    /// Statements that were not in the clients' form.
+    BadRequests = "bad_requests",
+    /// Clients' connections whose stream could not be followed.
+    BadStreams = "bad_streams",
+    /// Attempts decided.
+    Attempts = "attempts",
+    /// Attempts that a member answered with an error.
+    Errors = "errors",
+    /// Attempts that a member turned away as full.
+    TurnedAway = "turned_away",
+    /// Attempts that a member turned away as no primary, or as too far behind.
+    Misplaced = "misplaced",
+    /// Attempts that got no connection.
+    Unreachable = "unreachable",
+    /// Attempts whose connection broke.
+    Resets = "resets",
+    /// Attempts without an answer in time.
+    TimedOut = "timed_out",
+    /// Attempts never sent, since they had to wait for too long.
+    Unsent = "unsent",
+    /// Connections to members opened.
+    Connects = "connects",
+    /// Connections to members used again.
+    Reused = "reused",
+    /// Probes sent.
+    Probes = "probes",
+    /// Lists and changes of the list.
+    Lists = "lists",
+    /// Calls of discovery that it answered.
+    Watches = "watches",
+    /// Datagrams sent.
+    Told = "told",
+    /// Datagrams taken.
+    Heard = "heard",
+    /// Datagrams passed over.
+    Dropped = "dropped",
+    /// Times that somebody had to wait for a descriptor.
+    Short = "short_of_descriptors",
+    /// Times that the driver stood still.
+    Standstills = "standstills",
+    /// Broken invariants.
+    Breaches = "breaches",
 );
 
 /// The driver's counters.
--- a/crates/driver/tests/troubles.rs
+++ b/crates/driver/tests/troubles.rs
@@ -269,3 +269,20 @@
     eventually("the list is back", || world.driver.logged("is back"));
     assert!(world.discovery.set(|s| s.asked.iter().filter(|a| a.contains("watch=1&from=1")).count() >= 2));
 }
+
+/// What waited to be read while the driver stood still is as old as it may be.
+#[test]
+fn a_request_that_waited_through_a_standstill_has_less_time_left() {
+    let world = World::start();
+    let mut client = world.client();
+    world.driver.signal("STOP");
+    client.send(&query(&write(4000)));
+    let sent = Instant::now();
+    std::thread::sleep(Duration::from_millis(300));
+    let waited = sent.elapsed().as_millis() as u64;
+    world.driver.signal("CONT");
+    assert!(client.answer().unwrap().is_served());
+    let seen = world.leader.queries().into_iter().find(|q| q.contains("INSERT")).unwrap();
+    let left: u64 = seen.split(",d=").nth(1).unwrap().split(',').next().unwrap().parse().unwrap();
+    assert!(left <= 4000 - waited + 1, "{left} ms left after {waited} ms");
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -351,14 +351,12 @@
 /// What a router wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Send a request to a member, for so long at the most (0: until the client gives up).
+    /// Send a request to a member; the attempt lasts until the client gives up.
     Send {
         /// Which request.
         request: RequestId,
         /// Where to.
         member: MemberId,
-        /// Time-out of the attempt.
-        timeout: Micros,
     },
     /// Final answer: refused; trying again is harmless, best after the pause (0: no advice).
     Refuse {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -592,7 +592,7 @@
         m.open.push(Open { request: id, sent: now, class: held.class });
         m.load = load_left(m, now, self.settings.rules.fall_window) + service.base;
         m.last_sent = now;
-        out.push(Action::Send { request: id, member: to, timeout: 0 });
+        out.push(Action::Send { request: id, member: to });
     }
 
     // ---- Outcome ----
