What could not be sent by half its time is refused while its client can go elsewhere

Wrong line: the end in is_hopeless, which was that of the whole try. It holds against anything that keeps a group without a place to send to; it hurts clients that never ask again where the primary returns in the second half of their time.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -89,7 +89,7 @@
 /// A group, with when a request last named it and those that wait.
 #[derive(Default)]
 struct Group {
-    members: Vec<MemberId>,
+    members: BTreeSet<MemberId>,
     /// The last known primary, and the time that the evidence speaks of.
     primary: Option<(MemberId, Micros)>,
     asked: Micros,
@@ -104,6 +104,8 @@
     session: Option<SessionId>,
     arrived: Micros,
     ends: Micros,
+    /// Until then it may wait unsent; its client then has as long again to come back or to go elsewhere.
+    half: Micros,
     /// A client's repeat of unknown age: mostly it has used up the aim and earns nothing any more.
     spent: bool,
     /// Drawn once: what goes by share takes or leaves a request for good, however often it is looked at.
@@ -224,9 +226,7 @@
             (m.started, m.failures, m.silent) = (entry.started, 0, false);
         }
         let group = self.groups.entry(entry.group).or_default();
-        if !group.members.contains(&entry.member) {
-            group.members.push(entry.member);
-        }
+        group.members.insert(entry.member);
         // The list is late: it names a primary only where nothing better is known, and never one that has
         // since said that it is none, unless the list has changed to it.
         let denied = m.denied > 0 && self.now <= m.denied + PROBE_PERIOD;
@@ -355,8 +355,8 @@
     }
 
     fn group_members(&self, group: GroupId) -> impl Iterator<Item = &Member> {
-        let ids = self.groups.get(&group).map_or(&[][..], |g| &g.members);
-        ids.iter().filter_map(|id| self.members.get(id)).filter(move |m| m.group == group)
+        let ids = self.groups.get(&group).into_iter().flat_map(|g| &g.members);
+        ids.filter_map(|id| self.members.get(id)).filter(move |m| m.group == group)
     }
 
     // ---- Arrival ----
@@ -370,20 +370,20 @@
             SessionMarks::Client => request.last_write_ago.map_or(0, |ago| self.now.saturating_sub(ago)),
             SessionMarks::Router => remembered.unwrap_or(self.now.saturating_sub(SESSION_MEMORY)),
         };
-        let (class, group, session, repeat) = (request.class, request.group, request.session, request.repeat);
-        let (ends, lot) = (self.now + request.budget, self.draw(u64::MAX));
-        let usual = self.services[class].vote(request.budget, self.tick);
+        let Request { class, group, session, budget, repeat, .. } = *request;
+        let (ends, half, lot) = (self.now + budget, self.now + budget / 2, self.draw(u64::MAX));
+        let usual = self.services[class].vote(budget, self.tick);
         // First tries all get the same time, a last one what is left of the deadline: one of another length
         // tells how long ago the client first asked. Shorter may also mean that a first try came late.
         let deadline = self.settings.classes[class].deadline;
-        let age = match request.budget {
+        let age = match budget {
             budget if budget.abs_diff(usual) <= self.tick => 0,
             budget if repeat || budget > usual => deadline.saturating_sub(budget),
             budget => usual - budget,
         };
         let spent = repeat && age == 0 && self.settings.classes[class].late_worth == 0.0;
         let arrived = self.now.saturating_sub(age);
-        let held = Held { class, group, session, arrived, ends, spent, lot, floor, ..Held::default() };
+        let held = Held { class, group, session, arrived, ends, half, spent, lot, floor, ..Held::default() };
         self.probe_for(&held, out);
         self.held.insert(request.id, held);
         self.groups.entry(request.group).or_default().asked = self.now;
@@ -623,7 +623,7 @@
     /// Whether another attempt is not allowed, or would hardly end in time to earn anything.
     fn is_hopeless(&self, held: &Held) -> bool {
         let (class, service) = (&self.settings.classes[held.class], &self.services[held.class]);
-        let end = held.ends.saturating_sub(2 * self.tick);
+        let end = if held.tried.is_empty() { held.half } else { held.ends }.saturating_sub(2 * self.tick);
         let useful = if class.late_worth > 0.0 { held.ends } else { held.arrived + class.aim };
         let end = end.min(useful.saturating_sub(service.mean as Micros));
         let spent = held.tried.len() >= self.settings.limits.max_attempts as usize;
--- a/tests/rules_kept.rs
+++ b/tests/rules_kept.rs
@@ -295,3 +295,24 @@
     stage.event(Event::HungUp(id));
     assert!(!stage.router.confirm(stage.now, id, MemberId(1)));
 }
+
+#[test]
+fn what_could_not_be_sent_by_half_its_time_is_refused_while_its_client_can_still_go_elsewhere() {
+    let mut stage = Stage::with(settings(), &[entry(2, 0, false), entry(3, 1, false)]);
+    let (id, actions) = stage.ask_with(WRITE, 2_000 * MS, |_| {});
+    assert_eq!(sent(&actions, id), None, "no primary is known");
+    assert!(!refused(&stage.pass(900 * MS), id));
+    assert!(refused(&stage.pass(100 * MS), id));
+}
+
+#[test]
+fn what_was_sent_once_may_wait_for_another_attempt_up_to_its_end() {
+    let mut stage = Stage::new();
+    let (id, actions) = stage.ask_with(WRITE, 2_000 * MS, |_| {});
+    assert_eq!(sent(&actions, id), Some(1));
+    stage.now += 10 * MS;
+    stage.ended(id, 1, Outcome::Misplaced, stage.note(Role::Replica));
+    let answered = |actions: &[Action]| refused(actions, id) || failed(actions, id);
+    assert!(!answered(&stage.pass(1_500 * MS)));
+    assert!(answered(&stage.pass(500 * MS)));
+}
