--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -25,8 +25,6 @@
 const WRITE_WAIT: Duration = Duration::from_secs(10);
 /// A new connection is not idle for so long: its first request is on the way.
 const FIRST_WAIT: Duration = Duration::from_secs(1);
-/// A connection's mailbox: at most one answer and a few wishes that it be closed.
-const MAILBOX: usize = 4;
 
 /// What reaches the actor of a client's connection.
 #[derive(Debug)]
@@ -66,7 +64,8 @@
     pub fn welcome(self: &Rc<Self>, stream: Async<TcpStream>, place: Permit) {
         self.node.stats.count(Counter::Accepted);
         let _ = stream.get_ref().set_nodelay(true);
-        let (sender, mailbox) = async_channel::bounded(MAILBOX);
+        // It gets at most one answer, and one wish to close for each time that it was idle.
+        let (sender, mailbox) = async_channel::unbounded();
         let (clients, buffer) = (self.clone(), Buffer::default());
         let connection = Connection { clients, stream, buffer, read_at: 0, sender, mailbox, is_new: true };
         self.node.spawn(async move {
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -287,7 +287,9 @@
     }
 
     fn rest(&mut self, connection: Option<Connection>) {
-        let Some(connection) = connection.filter(|c| c.address == self.address) else { return };
+        // What was said after an answer belongs to no request: the next one on it would take it for its own.
+        let fit = |c: &Connection| c.address == self.address && c.buffer.filled().is_empty();
+        let Some(connection) = connection.filter(fit) else { return };
         let sender = self.sender.clone();
         let close = move || drop(sender.try_send(MemberMail::CloseOldest));
         let turn = self.node.descriptors.members.rest(close);
@@ -397,9 +399,10 @@
 
 /// Opens a connection, up to the member's welcome; the outcome otherwise.
 async fn open(node: &Node, address: SocketAddr) -> Result<Connection, Outcome> {
+    // Waiting for a place is no fault of the member.
+    let place = node.place(&node.descriptors.members).await;
     let limit = Instant::now() + Duration::from_micros(node.site.dialect.connect_timeout);
     let open = async {
-        let place = node.place(&node.descriptors.members).await;
         node.stats.count(Counter::Connects);
         let stream = Async::<TcpStream>::connect(address).await.map_err(|_| Outcome::Unreachable)?;
         let _ = stream.get_ref().set_nodelay(true);
--- a/crates/driver/src/shutdown.rs
+++ b/crates/driver/src/shutdown.rs
@@ -42,10 +42,13 @@
     let end = async {
         stop.await;
         info!("stopping: no further requests are wanted");
+        let longest = node.site.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        let end = Instant::now() + TURNING + Duration::from_micros(longest);
         Timer::after(TURNING).await;
         clients.close();
         let mut quiet_since = Instant::now();
-        while quiet_since.elapsed() < QUIET {
+        // By the end the time of all that was taken is over; what is left has sent half a request.
+        while quiet_since.elapsed() < QUIET && Instant::now() < end {
             if !clients.is_empty() {
                 quiet_since = Instant::now();
             }
--- a/crates/driver/tests/common/member.rs
+++ b/crates/driver/tests/common/member.rs
@@ -27,6 +27,8 @@
     Unwelcoming,
     /// Welcomes connections with this code.
     Reject(&'static str),
+    /// Says after each answer that it is full.
+    Afterthought,
     /// Closes each connection after the answer.
     CloseAfterAnswer,
 }
@@ -163,7 +165,10 @@
         if probe {
             if matches!(
                 behaviour,
-                Behaviour::Serve | Behaviour::CloseAfterAnswer | Behaviour::Code("25006" | "72000")
+                Behaviour::Afterthought
+                    | Behaviour::Serve
+                    | Behaviour::CloseAfterAnswer
+                    | Behaviour::Code("25006" | "72000")
             ) {
                 put_row(out, report.as_bytes());
             } else {
@@ -175,7 +180,9 @@
         thread::sleep(pause);
         let mut whole = true;
         match behaviour {
-            Behaviour::Serve | Behaviour::CloseAfterAnswer => put_row(out, &value_of(text)),
+            Behaviour::Serve | Behaviour::CloseAfterAnswer | Behaviour::Afterthought => {
+                put_row(out, &value_of(text));
+            }
             Behaviour::Code(code) => put_error(out, "ERROR", code),
             Behaviour::HalfAnswer => {
                 put_row(out, &value_of(text));
@@ -198,6 +205,10 @@
             self.told().iter().for_each(|(name, value)| put_status(out, name, value));
             put(out, b'Z', b"I");
         }
+        if behaviour == Behaviour::Afterthought {
+            put_error(out, "ERROR", "53300");
+            put(out, b'Z', b"I");
+        }
         stream.write_all(out)?;
         out.clear();
         Ok(whole && behaviour != Behaviour::CloseAfterAnswer)
--- a/crates/driver/tests/serving.rs
+++ b/crates/driver/tests/serving.rs
@@ -192,3 +192,17 @@
     drop(client);
     eventually("its attempt is off the wire", || world.members().iter().all(|m| m.set(|s| s.holds) == 0));
 }
+
+/// Taken for the next request's answer, it would say that a write never ran which did.
+#[test]
+fn what_a_member_says_after_an_answer_is_no_answer_to_the_next_request() {
+    let world = World::start();
+    world.leader.behave(Behaviour::Afterthought);
+    let mut client = world.client();
+    for _ in 0..5 {
+        let text = write(3000);
+        assert_eq!(client.ask(&text).values, [value_of(&text)]);
+        let key = text.split('\'').nth(1).unwrap();
+        assert_eq!(world.leader.queries().iter().filter(|q| q.contains(key)).count(), 1);
+    }
+}
--- a/crates/driver/tests/troubles.rs
+++ b/crates/driver/tests/troubles.rs
@@ -286,3 +286,18 @@
     let left: u64 = seen.split(",d=").nth(1).unwrap().split(',').next().unwrap().parse().unwrap();
     assert!(left <= 4000 - waited + 1, "{left} ms left after {waited} ms");
 }
+
+#[test]
+fn half_a_request_does_not_keep_it_from_ending() {
+    let mut world = World::with(|config| {
+        config["settings"]["requestClasses"].as_array_mut().unwrap().iter_mut().for_each(|class| {
+            class["deadlineUs"] = 1_000_000.into();
+        });
+    });
+    let mut half = world.client();
+    assert!(half.ask(&read(500)).is_served());
+    let text = query(&read(500));
+    half.send(&text[..text.len() / 2]);
+    world.driver.signal("TERM");
+    assert!(world.driver.ended().success());
+}
