A fatal error ends an attempt at once; a whole value without its last message is served

What a member has said so far is kept up outside the wait, so at the client's end a given code or a whole value counts for what it is, and a fatal error needs no further message.

--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -21,7 +21,7 @@
 use crate::descriptors::{Permit, Turn};
 use crate::listing::{FOLLOWER, LEADER};
 use crate::module::{Mail, ModuleHandle, Statement};
-use crate::pg::{self, sqlstate, Backend};
+use crate::pg::{self, sqlstate, Backend, Severity};
 use crate::stats::Counter;
 use crate::Node;
 
@@ -318,7 +318,7 @@
     future::or(async { Some(future.await) }, late).await
 }
 
-/// What came of a statement.
+/// What came of a statement; a broken connection, as long as its end has not come.
 struct Reply {
     outcome: Outcome,
     answer: Vec<u8>,
@@ -360,10 +360,13 @@
         None => return (Reply::without_answer(Outcome::Moot), None),
     }
     drop(query);
-    match within(Some(ends), connection.reply()).await {
-        Some((reply, true)) => (reply, Some(connection)),
-        Some((reply, false)) => (reply, None),
-        None => (Reply::without_answer(Outcome::TimedOut), None),
+    let mut reply = Reply::without_answer(Outcome::Reset);
+    match within(Some(ends), connection.reply(&mut reply)).await {
+        Some(true) => (reply, Some(connection)),
+        Some(false) => (reply, None),
+        // Where all but the last message has come, that is the outcome.
+        None if reply.outcome != Outcome::Reset => (reply, None),
+        None => (Reply { outcome: Outcome::TimedOut, ..reply }, None),
     }
 }
 
@@ -383,7 +386,8 @@
         let mut query = Vec::new();
         pg::put_query(&mut query, &[if dialect.report.is_empty() { PROBE_ALIVE } else { PROBE_REPORT }]);
         connection.stream.write_all(&query).await.map_err(|_| Outcome::Unreachable)?;
-        let (reply, reusable) = connection.reply().await;
+        let mut reply = Reply::without_answer(Outcome::Reset);
+        let reusable = connection.reply(&mut reply).await;
         let mut told = reply.told;
         if let Some(value) = pg::single_value(&reply.answer).filter(|_| !dialect.report.is_empty()) {
             told.take(b"server_load", value);
@@ -423,7 +427,7 @@
                 pg::backend(self.buffer.filled()).map_err(|_| Outcome::Unreachable)?
             {
                 let ready = match message {
-                    Backend::Error(code) => {
+                    Backend::Error(code, _) => {
                         let full = code == sqlstate::TOO_MANY_CONNECTIONS.as_bytes();
                         return Err(if full { Outcome::Full } else { Outcome::Unreachable });
                     }
@@ -442,12 +446,9 @@
         }
     }
 
-    /// Reads the answer to a statement that was written whole; tells also whether the connection can be used again.
-    async fn reply(&mut self) -> (Reply, bool) {
-        // Only what comes with this answer counts: an earlier one may have told another role.
-        let (mut answer, mut told) = (Vec::new(), Told::default());
-        // What stands in for the outcome until the statement's end has come.
-        let mut outcome = Outcome::Reset;
+    /// Reads the answer to a statement that was written whole, and keeps up what it amounts to so far; tells
+    /// whether the connection can be used again.
+    async fn reply(&mut self, reply: &mut Reply) -> bool {
         let mut row = Row::Nothing;
         loop {
             loop {
@@ -455,37 +456,44 @@
                 let (message, length) = match pg::backend(bytes) {
                     Ok(Some(parsed)) => parsed,
                     Ok(None) => break,
-                    Err(_) => return (Reply { outcome: Outcome::Reset, answer, told }, false),
+                    Err(_) => {
+                        reply.outcome = Outcome::Reset;
+                        return false;
+                    }
                 };
-                let mut ready = false;
                 match message {
-                    Backend::ParameterStatus(name, value) => told.take(name, value),
-                    Backend::Error(code) => outcome = outcome_of(code),
+                    Backend::ParameterStatus(name, value) => reply.told.take(name, value),
+                    Backend::Error(code, severity) => {
+                        reply.outcome = outcome_of(code);
+                        if severity == Severity::Fatal {
+                            return false;
+                        }
+                    }
                     Backend::RowDescription(_) | Backend::DataRow(_) | Backend::CommandComplete => {
                         row = row.next(message);
-                        outcome = match row {
-                            Row::Complete => Outcome::Served,
-                            Row::Unfit => Outcome::Error,
-                            _ => outcome,
-                        };
+                        match row {
+                            Row::Complete => reply.outcome = Outcome::Served,
+                            Row::Unfit => reply.outcome = Outcome::Error,
+                            Row::Nothing | Row::Described | Row::Given => {}
+                        }
                         // One of each at most is kept, so the bound on messages bounds the answer.
                         if row != Row::Unfit {
-                            answer.extend_from_slice(&bytes[..length]);
+                            reply.answer.extend_from_slice(&bytes[..length]);
                         }
                     }
-                    Backend::Ready => ready = true,
-                    Backend::Authentication(_) | Backend::Other => {}
+                    Backend::Ready | Backend::Authentication(_) | Backend::Other => {}
                 }
+                let ready = message == Backend::Ready;
                 self.buffer.consume(length);
                 if ready {
-                    return (Reply { outcome, answer, told }, true);
+                    return true;
                 }
             }
             // One that speaks without end is not to hold up the others.
             future::yield_now().await;
-            // After a fatal error, or with all but the last message there, what has come is the outcome.
+            // With all but the last message there, what has come is the outcome.
             if self.buffer.fill(&mut self.stream).await.map_or(true, |count| count == 0) {
-                return (Reply { outcome, answer, told }, false);
+                return false;
             }
         }
     }
--- a/crates/driver/src/pg.rs
+++ b/crates/driver/src/pg.rs
@@ -160,8 +160,8 @@
     DataRow(Option<&'a [u8]>),
     /// The statement is done.
     CommandComplete,
-    /// An error's SQLSTATE.
-    Error(&'a [u8]),
+    /// An error's SQLSTATE, and how far it reaches.
+    Error(&'a [u8], Severity),
     /// The next query may come.
     Ready,
     /// Passed over: notices, a cancel key, notifications, an empty query's answer.
@@ -186,7 +186,12 @@
         b'T' => Backend::RowDescription(be_u16(body, 0).ok_or(Broken::Content)?),
         b'D' => Backend::DataRow(single_column(body)?),
         b'C' => Backend::CommandComplete,
-        b'E' => Backend::Error(error_field(body, b'C').ok_or(Broken::Content)?),
+        b'E' => {
+            let code = error_field(body, b'C').ok_or(Broken::Content)?;
+            let severity = error_field(body, b'V').or(error_field(body, b'S')).unwrap_or_default();
+            let fatal = matches!(severity, b"FATAL" | b"PANIC");
+            Backend::Error(code, if fatal { Severity::Fatal } else { Severity::Error })
+        }
         b'Z' => Backend::Ready,
         _ => Backend::Other,
     };
--- a/crates/driver/tests/common/member.rs
+++ b/crates/driver/tests/common/member.rs
@@ -29,6 +29,10 @@
     Reject(&'static str),
     /// Says after each answer that it is full.
     Afterthought,
+    /// Answers with this code as fatal, and leaves the connection open.
+    Fatal(&'static str),
+    /// Answers, but never says that the next query may come.
+    Unready,
     /// Closes each connection after the answer.
     CloseAfterAnswer,
 }
@@ -175,7 +179,9 @@
                 put_error(out, "ERROR", "57P03");
             }
             put(out, b'Z', b"I");
-            return Ok(true);
+            stream.write_all(out)?;
+            out.clear();
+            return Ok(behaviour != Behaviour::CloseAfterAnswer);
         }
         thread::sleep(pause);
         let mut whole = true;
@@ -184,6 +190,14 @@
                 put_row(out, &value_of(text));
             }
             Behaviour::Code(code) => put_error(out, "ERROR", code),
+            Behaviour::Fatal(code) => {
+                put_error(out, "FATAL", code);
+                whole = false;
+            }
+            Behaviour::Unready => {
+                put_row(out, &value_of(text));
+                whole = false;
+            }
             Behaviour::HalfAnswer => {
                 put_row(out, &value_of(text));
                 out.truncate(out.len() / 2);
@@ -211,6 +225,9 @@
         }
         stream.write_all(out)?;
         out.clear();
+        if matches!(behaviour, Behaviour::Fatal(_) | Behaviour::Unready) {
+            while more(stream, &mut Vec::new())? {}
+        }
         Ok(whole && behaviour != Behaviour::CloseAfterAnswer)
     }
 
--- a/crates/driver/tests/parsers.rs
+++ b/crates/driver/tests/parsers.rs
@@ -52,7 +52,7 @@
     for length in 0..answer.len() {
         assert_eq!(pg::backend(&answer[..length]), Ok(None), "{length}");
     }
-    assert_eq!(pg::backend(&answer), Ok(Some((Backend::Error(b"53300"), answer.len()))));
+    assert_eq!(pg::backend(&answer), Ok(Some((Backend::Error(b"53300", Severity::Error), answer.len()))));
 }
 
 #[test]
--- a/crates/driver/tests/serving.rs
+++ b/crates/driver/tests/serving.rs
@@ -97,14 +97,25 @@
 
 #[test]
 fn a_connection_closed_while_idle_is_not_used() {
-    let world = World::start();
+    let mut world = World::start();
     world.members().iter().for_each(|m| m.behave(Behaviour::CloseAfterAnswer));
+    // For each member, what it was asked less the connections that it ended.
+    let balance = || {
+        world
+            .members()
+            .map(|m| m.set(|s| (s.queries.len() + s.probes + s.open) as i64 - s.connections as i64))
+    };
+    let before = balance();
     let mut client = world.client();
     for _ in 0..10 {
         let text = read(2000);
-        let answer = client.ask(&text);
-        assert_eq!(answer.values, [value_of(&text)], "{answer:?}");
+        assert_eq!(client.ask(&text).values, [value_of(&text)]);
+        eventually("the connections used are closed", || balance() == before);
     }
+    world.driver.signal("TERM");
+    assert!(world.driver.ended().success());
+    eventually("the last counts are logged", || world.driver.logged("stopped"));
+    assert!(!world.driver.logged("resets=") && !world.driver.logged("unreachable="));
 }
 
 #[test]
@@ -206,3 +217,19 @@
         assert_eq!(world.leader.queries().iter().filter(|q| q.contains(key)).count(), 1);
     }
 }
+
+#[test]
+fn a_fatal_error_is_an_outcome_though_the_connection_stays_open() {
+    let world = World::start();
+    world.follower.behave(Behaviour::Fatal("53300"));
+    let answer = world.client().ask(&read(20_000));
+    assert!(answer.is_served(), "it goes to the leader at once: {answer:?}");
+}
+
+#[test]
+fn a_whole_value_is_served_at_the_latest_when_its_time_is_over() {
+    let world = World::start();
+    world.leader.behave(Behaviour::Unready);
+    let text = write(500);
+    assert_eq!(world.client().ask(&text).values, [value_of(&text)]);
+}
--- a/crates/driver/tests/troubles.rs
+++ b/crates/driver/tests/troubles.rs
@@ -291,13 +291,19 @@
 fn half_a_request_does_not_keep_it_from_ending() {
     let mut world = World::with(|config| {
         config["settings"]["requestClasses"].as_array_mut().unwrap().iter_mut().for_each(|class| {
-            class["deadlineUs"] = 1_000_000.into();
+            class["deadlineUs"] = 4_000_000.into();
         });
     });
-    let mut half = world.client();
-    assert!(half.ask(&read(500)).is_served());
-    let text = query(&read(500));
-    half.send(&text[..text.len() / 2]);
+    world.members().iter().for_each(|m| m.set(|s| s.pause = Duration::from_millis(2000)));
+    let (mut idle, mut busy) = (world.client(), world.client());
+    let before = world.queries();
+    busy.send(&query(&read(4000)));
+    eventually("the request is under way", || world.queries() > before);
     world.driver.signal("TERM");
+    assert!(idle.answer().is_err(), "idle connections are being closed");
+    let mut half = Client::raw(world.driver.address);
+    let text = [startup(), query(&read(500))].concat();
+    half.send(&text[..text.len() - 1]);
+    assert!(busy.answer().unwrap().is_served());
     assert!(world.driver.ended().success());
 }
