Early refusal of what could not be sent only while the primary is lost

There late requests wait for room at primaries that are well, and refusing these at half their time gains nothing. Wrong line: the end in is_hopeless, which asked only whether an attempt was made. Now the group's primary has to be unknown, or something has to speak against it.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -104,7 +104,7 @@
     session: Option<SessionId>,
     arrived: Micros,
     ends: Micros,
-    /// Until then it may wait unsent; its client then has as long again to come back or to go elsewhere.
+    /// Until then it waits for a lost primary; its client then has as long again to go elsewhere.
     half: Micros,
     /// A client's repeat of unknown age: mostly it has used up the aim and earns nothing any more.
     spent: bool,
@@ -523,8 +523,7 @@
     /// then its member may drain or be no primary, or its replica's known position be too old.
     pub fn confirm(&mut self, now: Micros, request: RequestId, to: MemberId) -> bool {
         self.now = now;
-        let found = self.held.get(&request).zip(self.members.get(&to));
-        found.is_some_and(|(held, m)| self.may_go(held, m))
+        self.held.get(&request).zip(self.members.get(&to)).is_some_and(|(held, m)| self.may_go(held, m))
     }
 
     /// Rule 2: whether a request may be sent again, to this member if one is given.
@@ -623,9 +622,10 @@
     /// Whether another attempt is not allowed, or would hardly end in time to earn anything.
     fn is_hopeless(&self, held: &Held) -> bool {
         let (class, service) = (&self.settings.classes[held.class], &self.services[held.class]);
-        let end = if held.tried.is_empty() { held.half } else { held.ends }.saturating_sub(2 * self.tick);
+        let lost = self.primary(held.group).is_none_or(|p| !self.is_good(p));
+        let end = if lost && held.tried.is_empty() { held.half } else { held.ends };
         let useful = if class.late_worth > 0.0 { held.ends } else { held.arrived + class.aim };
-        let end = end.min(useful.saturating_sub(service.mean as Micros));
+        let end = end.saturating_sub(2 * self.tick).min(useful.saturating_sub(service.mean as Micros));
         let spent = held.tried.len() >= self.settings.limits.max_attempts as usize;
         spent || !self.may_repeat(held, None) || self.now >= end
     }
--- a/tests/rules_kept.rs
+++ b/tests/rules_kept.rs
@@ -316,3 +316,16 @@
     assert!(!answered(&stage.pass(1_500 * MS)));
     assert!(answered(&stage.pass(500 * MS)));
 }
+
+#[test]
+fn what_waits_for_room_at_a_primary_that_is_well_waits_on_after_half_its_time() {
+    let mut stage = Stage::new();
+    let mut ask = || stage.ask_with(WRITE, 1_600 * MS, |_| {});
+    let (waiting, _) = loop {
+        let (id, actions) = ask();
+        if sent(&actions, id).is_none() {
+            break (id, actions);
+        }
+    };
+    assert!(!refused(&stage.pass(810 * MS), waiting));
+}
