--- a/crates/driver/tests/troubles.rs
+++ b/crates/driver/tests/troubles.rs
@@ -2,8 +2,11 @@
 
 mod common;
 
+use std::net::UdpSocket;
 use std::time::{Duration, Instant};
 
+use beaconshore_driver::peers;
+
 use common::client::{query, startup};
 use common::discovery::entry;
 use common::{eventually, read, write, Behaviour, Client, Member, World};
@@ -307,3 +310,33 @@
     assert!(busy.answer().unwrap().is_served());
     assert!(world.driver.ended().success());
 }
+
+#[test]
+fn drivers_tell_each_other_what_members_said_and_drop_what_is_no_word() {
+    let peer = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
+    peer.set_read_timeout(Some(common::LIMIT)).unwrap();
+    let mut world = World::with(|config| {
+        let own = config["peer_listen"].clone();
+        config["peers"] = serde_json::json!([own, peer.local_addr().unwrap().to_string()]);
+    });
+    let mut bytes = [0; 300];
+    let length = peer.recv(&mut bytes).expect("a datagram after reads");
+    assert!(length <= 256);
+    let words = peers::decode(&bytes[..length]).expect("a datagram that reads");
+    let tags = world.members().map(|m| peers::tag(&m.name));
+    assert!(!words.is_empty() && words.iter().all(|w| tags.contains(&w.tag)), "{words:?}");
+    assert!(words.iter().all(|w| w.position <= common::unix_ms() * 1000));
+
+    let to: std::net::SocketAddr = world.driver.config["peer_listen"].as_str().unwrap().parse().unwrap();
+    stranger.send_to(&bytes[..length], to).unwrap();
+    peer.send_to(b"no words", to).unwrap();
+    peer.send_to(&[1; 300], to).unwrap();
+    peer.send_to(&bytes[..length], to).unwrap();
+    assert!(world.client().ask(&read(2000)).is_served());
+    world.driver.signal("TERM");
+    assert!(world.driver.ended().success());
+    eventually("the last counts are logged", || world.driver.logged("stopped"));
+    eventually("three datagrams were dropped", || world.driver.logged("dropped=3"));
+    assert!(world.driver.logged("heard=1 "));
+}
