--- a/crates/driver/tests/common/client.rs
+++ b/crates/driver/tests/common/client.rs
@@ -118,6 +118,7 @@
                 Ok(0) => return Err(answer),
                 Ok(count) => self.bytes.extend_from_slice(&part[..count]),
                 Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return Err(answer),
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
                 Err(e) => panic!("no answer: {e}; so far {answer:?}"),
             }
         }
