--- a/crates/driver/tests/parsers.rs
+++ b/crates/driver/tests/parsers.rs
@@ -1,6 +1,7 @@
 //! The parsers, without sockets: every split, bounds, junk.
 
 use beaconshore::interface::Role;
+use beaconshore_driver::listing::{Lifecycle, Listing};
 use beaconshore_driver::pg::{self, Backend, Broken, Frontend, Opening, Severity};
 use beaconshore_driver::{http, peers};
 
@@ -254,3 +255,27 @@
     *other.last_mut().unwrap() |= 3;
     assert_eq!(peers::decode(&other), None, "a role that is none");
 }
+
+#[test]
+fn a_list_with_an_unreadable_entry_and_an_unknown_state_still_counts() {
+    let entry = |id: &str, address: &str, state: &str| {
+        format!(
+            "{{\"instanceId\":\"{id}\",\"hostPort\":\"{address}\",\"zone\":\"a\",\"cell\":3,\
+             \"lifecycle\":\"{state}\",\"startedAtMs\":0}}"
+        )
+    };
+    let entries = [
+        entry("s-1", "10.1.0.18:5432", "ready"),
+        entry("s-2", "nowhere", "ready"),
+        entry("s-3", "10.1.0.20:5432", "resting"),
+        entry("s-4", "10.1.0.21:5432", "gone"),
+    ];
+    let text = format!("{{\"generation\":41,\"reset\":true,\"instances\":[{}]}}", entries.join(","));
+    let listing: Listing = serde_json::from_str(&text).unwrap();
+    let states: Vec<_> = listing.instances.iter().map(|i| (i.instance_id.as_str(), i.lifecycle)).collect();
+    assert_eq!(
+        states,
+        [("s-1", Lifecycle::Ready), ("s-3", Lifecycle::Draining), ("s-4", Lifecycle::Gone)],
+        "a state that is not known binds like a drain"
+    );
+}
