--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -9,12 +9,13 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use async_io::{Async, Timer};
+use async_io::Async;
 use beaconshore::interface::{Consistency, Effect, Micros, RequestId, SessionId};
 use futures_lite::{future, AsyncWriteExt};
 use log::debug;
 
 use crate::buffer::Buffer;
+use crate::clock::within;
 use crate::descriptors::Permit;
 use crate::module::{Arrival, Mail, ModuleHandle, Statement};
 use crate::pg::{self, sqlstate, Frontend, Opening, Severity};
@@ -229,22 +230,19 @@
                 }
             }
         };
-        let mut out = match answer {
-            Answer::Served(messages) => messages,
+        let mut out = Vec::new();
+        match answer {
+            Answer::Served(messages) => out = messages,
             Answer::Refused(pause) => {
                 let detail = (pause > 0).then(|| pause.div_ceil(1000).to_string());
-                let mut out = Vec::new();
                 let (code, text) = (sqlstate::TOO_MANY_CONNECTIONS, "refused; trying again is harmless");
                 pg::put_error(&mut out, Severity::Error, code, text, detail.as_deref());
-                out
             }
             Answer::Failed => {
-                let mut out = Vec::new();
                 let (code, text) = (sqlstate::COMPLETION_UNKNOWN, "failed; the statement may have run");
                 pg::put_error(&mut out, Severity::Error, code, text, None);
-                out
             }
-        };
+        }
         pg::put_ready(&mut out);
         self.write(&out).await?;
         Ok(true)
@@ -253,11 +251,7 @@
     /// Reads more while no request is open; false if the connection is to end.
     async fn more(&mut self) -> io::Result<bool> {
         if self.is_new {
-            let late = async {
-                Timer::after(FIRST_WAIT).await;
-                None
-            };
-            match future::or(async { Some(self.wake(true).await) }, late).await {
+            match within(FIRST_WAIT, self.wake(true)).await {
                 Some(Wake::Input(read)) => return Ok(read? > 0),
                 Some(Wake::Mail(_)) | None => self.is_new = false,
             }
@@ -312,11 +306,8 @@
     }
 
     async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let late = async {
-            Timer::after(WRITE_WAIT).await;
-            Err(io::ErrorKind::TimedOut.into())
-        };
-        future::or(self.stream.write_all(bytes), late).await
+        let written = within(WRITE_WAIT, self.stream.write_all(bytes)).await;
+        written.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
     }
 
     /// Tells a client whose stream can't be followed why, and ends it.
--- a/crates/driver/src/discovery.rs
+++ b/crates/driver/src/discovery.rs
@@ -1,15 +1,17 @@
 //! Discovery: the whole list, then the watch from its version; a broken one is taken up again after a pause.
 
 use std::fmt;
+use std::future::Future;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncWriteExt};
 use log::{info, warn};
 
 use crate::buffer::Buffer;
+use crate::clock::within;
 use crate::http;
 use crate::listing::Listing;
 use crate::module::ModuleHandle;
@@ -162,10 +164,6 @@
     }
 }
 
-async fn in_time<T>(future: impl std::future::Future<Output = Result<T, End>>) -> Result<T, End> {
-    let silent = async {
-        Timer::at(Instant::now() + SILENCE).await;
-        Err(End::Silent)
-    };
-    future::or(future, silent).await
+async fn in_time<T>(future: impl Future<Output = Result<T, End>>) -> Result<T, End> {
+    within(SILENCE, future).await.unwrap_or(Err(End::Silent))
 }
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -4,7 +4,6 @@
 //! it is off the wire. Nothing is sent again here.
 
 use std::collections::{HashMap, VecDeque};
-use std::future::Future;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -12,12 +11,13 @@
 
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
-use async_io::{Async, Timer};
+use async_io::Async;
 use beaconshore::interface::{MemberId, Micros, Note, Outcome, Report, RequestId, Role};
 use beaconshore_settings::ReportField;
 use futures_lite::{future, AsyncWriteExt};
 
 use crate::buffer::Buffer;
+use crate::clock::{until, within};
 use crate::descriptors::{Permit, Turn};
 use crate::listing::{FOLLOWER, LEADER};
 use crate::module::{Mail, ModuleHandle, Statement};
@@ -210,8 +210,10 @@
             while self.idle.front().is_some_and(|idle| idle.since.elapsed() >= fresh_for) {
                 self.close_oldest();
             }
-            let expiry = self.idle.front().map(|idle| idle.since + fresh_for);
-            let mail = within(expiry, self.mailbox.recv()).await;
+            let mail = match self.idle.front() {
+                Some(idle) => until(idle.since + fresh_for, self.mailbox.recv()).await,
+                None => Some(self.mailbox.recv().await),
+            };
             match mail {
                 None => {}
                 Some(Err(_)) => return,
@@ -308,16 +310,6 @@
     }
 }
 
-/// The future's value, or none once the time has come.
-async fn within<T>(at: Option<Instant>, future: impl Future<Output = T>) -> Option<T> {
-    let Some(at) = at else { return Some(future.await) };
-    let late = async {
-        Timer::at(at).await;
-        None
-    };
-    future::or(async { Some(future.await) }, late).await
-}
-
 /// What came of a statement; a broken connection, as long as its end has not come.
 struct Reply {
     outcome: Outcome,
@@ -343,7 +335,7 @@
     let ends = node.clock.instant(attempt.ends);
     let mut connection = match idle {
         Some(connection) => connection,
-        None => match within(Some(ends), open(node, address)).await {
+        None => match until(ends, open(node, address)).await {
             Some(Ok(connection)) if attempt.confirm(module, id).await => connection,
             Some(Ok(connection)) => return (Reply::without_answer(Outcome::Moot), Some(connection)),
             Some(Err(outcome)) => return (Reply::without_answer(outcome), None),
@@ -354,14 +346,14 @@
     // The member need not hear of the last part of a millisecond.
     let wait_ms = attempt.ends.saturating_sub(node.clock.now()).div_ceil(1000);
     let query = attempt.statement.query(wait_ms);
-    match within(Some(ends), attempt.write(module, id, &connection.stream, &query)).await {
+    match until(ends, attempt.write(module, id, &connection.stream, &query)).await {
         Some(Ok(())) => {}
         Some(Err(outcome)) => return (Reply::without_answer(outcome), None),
         None => return (Reply::without_answer(Outcome::Moot), None),
     }
     drop(query);
     let mut reply = Reply::without_answer(Outcome::Reset);
-    match within(Some(ends), connection.reply(&mut reply)).await {
+    match until(ends, connection.reply(&mut reply)).await {
         Some(true) => (reply, Some(connection)),
         Some(false) => (reply, None),
         // Where all but the last message has come, that is the outcome.
@@ -377,24 +369,25 @@
     idle: Option<Connection>,
 ) -> (Outcome, Report, Option<Connection>) {
     let dialect = &node.site.dialect;
-    let limit = Instant::now() + Duration::from_micros(dialect.connect_timeout);
+    let limit = Duration::from_micros(dialect.connect_timeout);
     let probe = async {
         let mut connection = match idle {
             Some(connection) => connection,
             None => open(node, address).await?,
         };
         let mut query = Vec::new();
-        pg::put_query(&mut query, &[if dialect.report.is_empty() { PROBE_ALIVE } else { PROBE_REPORT }]);
+        let has_report = !dialect.report.is_empty();
+        pg::put_query(&mut query, &[if has_report { PROBE_REPORT } else { PROBE_ALIVE }]);
         connection.stream.write_all(&query).await.map_err(|_| Outcome::Unreachable)?;
         let mut reply = Reply::without_answer(Outcome::Reset);
         let reusable = connection.reply(&mut reply).await;
         let mut told = reply.told;
-        if let Some(value) = pg::single_value(&reply.answer).filter(|_| !dialect.report.is_empty()) {
+        if let Some(value) = pg::single_value(&reply.answer).filter(|_| has_report) {
             told.take(b"server_load", value);
         }
         Ok((reply.outcome, told.as_report(), reusable.then_some(connection)))
     };
-    match within(Some(limit), probe).await {
+    match within(limit, probe).await {
         Some(Ok(end)) => end,
         Some(Err(outcome)) => (outcome, Report::default(), None),
         None => (Outcome::TimedOut, Report::default(), None),
@@ -405,7 +398,7 @@
 async fn open(node: &Node, address: SocketAddr) -> Result<Connection, Outcome> {
     // Waiting for a place is no fault of the member.
     let place = node.place(&node.descriptors.members).await;
-    let limit = Instant::now() + Duration::from_micros(node.site.dialect.connect_timeout);
+    let limit = Duration::from_micros(node.site.dialect.connect_timeout);
     let open = async {
         node.stats.count(Counter::Connects);
         let stream = Async::<TcpStream>::connect(address).await.map_err(|_| Outcome::Unreachable)?;
@@ -416,7 +409,7 @@
         connection.stream.write_all(&startup).await.map_err(|_| Outcome::Unreachable)?;
         connection.welcome().await.map(|()| connection)
     };
-    within(Some(limit), open).await.unwrap_or(Err(Outcome::Unreachable))
+    within(limit, open).await.unwrap_or(Err(Outcome::Unreachable))
 }
 
 impl Connection {
--- a/crates/driver/src/module.rs
+++ b/crates/driver/src/module.rs
@@ -250,8 +250,8 @@
             Some(&id) => id,
             None => {
                 let id = MemberId(self.members.len() as u32);
-                self.ids.insert(instance.instance_id.clone(), id);
                 self.members.push(Known { tag: peers::tag(&instance.instance_id), address, actor: None });
+                self.ids.insert(instance.instance_id, id);
                 id
             }
         };
--- a/crates/driver/src/peers.rs
+++ b/crates/driver/src/peers.rs
@@ -46,8 +46,8 @@
 
 /// Writes words to datagrams.
 pub fn encode(words: &[PeerWord]) -> Vec<Vec<u8>> {
+    let base = words.iter().map(|w| w.position / 1000).max().unwrap_or(0);
     let datagram = |words: &[PeerWord]| {
-        let base = words.iter().map(|w| w.position / 1000).max().unwrap_or(0);
         let mut bytes = vec![VERSION];
         bytes.extend_from_slice(&base.to_be_bytes()[2..]);
         for word in words {
@@ -63,8 +63,7 @@
         bytes
     };
     // Of what is much older than the newest there is no news.
-    let newest = words.iter().map(|w| w.position / 1000).max().unwrap_or(0);
-    let near = |w: &&PeerWord| newest - w.position / 1000 <= u64::from(u32::MAX >> 2);
+    let near = |w: &&PeerWord| base - w.position / 1000 <= u64::from(u32::MAX >> 2);
     let words: Vec<PeerWord> = words.iter().filter(near).copied().collect();
     words.chunks((MAX_DATAGRAM - HEADER) / WORD).map(datagram).collect()
 }
--- a/crates/driver/src/pg.rs
+++ b/crates/driver/src/pg.rs
@@ -26,8 +26,6 @@
 pub mod sqlstate {
     /// Turned away: too many connections, or a refusal to a client.
     pub const TOO_MANY_CONNECTIONS: &str = "53300";
-    /// A probe's failure.
-    pub const CANNOT_CONNECT_NOW: &str = "57P03";
     /// A write reached a member that is no primary.
     pub const READ_ONLY: &str = "25006";
     /// A read reached a member that is too far behind.
@@ -236,7 +234,7 @@
 }
 
 /// One field of an error or a notice.
-pub fn error_field(mut body: &[u8], wanted: u8) -> Option<&[u8]> {
+fn error_field(mut body: &[u8], wanted: u8) -> Option<&[u8]> {
     while let Some((&field, rest)) = body.split_first().filter(|(&f, _)| f != 0) {
         let (value, rest) = text(rest)?;
         if field == wanted {
--- a/crates/driver/src/stats.rs
+++ b/crates/driver/src/stats.rs
@@ -89,11 +89,6 @@
         cell.set(cell.get() + 1);
     }
 
-    /// How many were counted.
-    pub fn get(&self, counter: Counter) -> u64 {
-        self.counts[counter as usize].get()
-    }
-
     /// Checks what must hold: a breach ends a debug build, and is counted and logged by a release build.
     pub fn check(&self, holds: bool, what: &str) {
         debug_assert!(holds, "broken invariant: {what}");
