The pause between garbled watches grows

Seen on a read of discovery.rs: where each watch is garbled and the whole list is not, the version changes with every cycle, so the pause went back to its first each time: some twenty calls and forty log lines a second. Wrong line: the version was compared after the garbled case had cleared it. The test fails without the change.

--- a/crates/driver/src/discovery.rs
+++ b/crates/driver/src/discovery.rs
@@ -63,6 +63,7 @@
             Ok(()) => continue,
             Err(end) => end,
         };
+        let progressed = version != before;
         // Garbled changes may have been missed: the whole list tells.
         if matches!(end, End::Json(_) | End::Http(_) | End::TooLong | End::Status(_)) {
             version = None;
@@ -71,7 +72,7 @@
             warn!("discovery at {address} is lost: {end}");
             down = true;
         }
-        pause = if version != before { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
+        pause = if progressed { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
         Timer::after(pause).await;
     }
 }
--- a/crates/driver/tests/common/discovery.rs
+++ b/crates/driver/tests/common/discovery.rs
@@ -16,8 +16,8 @@
     changes: Vec<(u64, Value)>,
     /// Answers nothing, and its watches say nothing.
     pub silent: bool,
-    /// Sends junk to watches that are open, once each, then ends them.
-    pub garble: bool,
+    /// Sends junk to so many watches, and ends them.
+    pub garble: usize,
     /// What was asked.
     pub asked: Vec<String>,
 }
@@ -111,7 +111,12 @@
         write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
         let mut beats = 0;
         loop {
-            if self.set(|s| std::mem::take(&mut s.garble)) {
+            let garble = self.set(|s| {
+                let left = s.garble;
+                s.garble = left.saturating_sub(1);
+                left
+            });
+            if garble > 0 {
                 return stream.write_all(b"5\r\n{\"a\":\r\n!!\r\n");
             }
             let silent = self.set(|s| s.silent);
--- a/crates/driver/tests/troubles.rs
+++ b/crates/driver/tests/troubles.rs
@@ -77,7 +77,7 @@
 #[test]
 fn a_lost_list_is_taken_up_again_from_its_version() {
     let world = World::start();
-    world.discovery.set(|s| s.garble = true);
+    world.discovery.set(|s| s.garble = 1);
     eventually("the loss is told", || world.driver.logged("is lost"));
     eventually("the list is back", || world.driver.logged("is back"));
     world.discovery.tell(entry(&world.follower, "draining"));
@@ -345,3 +345,15 @@
     eventually("three datagrams were dropped", || world.driver.logged("dropped=3"));
     assert!(world.driver.logged("heard=1 "));
 }
+
+/// The whole list between two garbled watches is no reason to call again at once.
+#[test]
+fn the_pause_between_garbled_watches_grows() {
+    let world = World::start();
+    let asked = || world.discovery.set(|s| s.asked.len());
+    let (before, start) = (asked(), Instant::now());
+    world.discovery.set(|s| s.garble = 6);
+    eventually("the garbled watches are over", || world.discovery.set(|s| s.garble) == 0);
+    assert!(start.elapsed() >= Duration::from_millis(100 + 200 + 400 + 800 + 1000));
+    assert!(asked() <= before + 2 * 6);
+}
