SIGHUP reads the configuration again and moves the list to its new address

Cause: nothing caught SIGHUP (shutdown.rs, signalled()) and discovery.rs, follow(), kept one address for good. Now signals are caught before anything else; the file's discovery prevails on a reload; the new address is asked for its whole list, the old watch is heeded until that is in. Calls of discovery are given up after 1 s (5 s before), watches after 3 s of silence: its answers come at once and its lines every 2 s. Ruled out: a loss by the moves themselves, no request failed around them.

--- a/crates/driver/src/config.rs
+++ b/crates/driver/src/config.rs
@@ -41,7 +41,7 @@
 }
 
 /// What the machine allows.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 pub struct Limits {
     /// File descriptors that the driver may hold.
     pub sockets: usize,
@@ -51,20 +51,35 @@
     /// Reads the file that `RELAY_CONFIG` names. `RELAY_NAME`, `RELAY_LISTEN` and `RELAY_DISCOVERY` prevail over
     /// what it says of the same.
     pub fn from_env() -> Result<Config, String> {
-        let variable = |name: &str| env::var(name).ok().filter(|value| !value.is_empty());
+        let mut config = Config::reread()?;
+        config.discovery = address("RELAY_DISCOVERY")?.unwrap_or(config.discovery);
+        Ok(config)
+    }
+
+    /// Reads that file again while the driver runs: now its `discovery` prevails, for the variable still holds what
+    /// was so at the start.
+    pub fn reread() -> Result<Config, String> {
         let path = variable("RELAY_CONFIG").ok_or("RELAY_CONFIG names no configuration file")?;
         let text = fs::read(&path).map_err(|e| format!("configuration {path}: {e}"))?;
         let mut config = Config::parse(&text).map_err(|e| format!("configuration {path}: {e}"))?;
-        let address = |name: &str| {
-            let parse = |value: String| value.parse().map_err(|e| format!("{name} is {value:?}: {e}"));
-            variable(name).map(parse).transpose()
-        };
         config.name = variable("RELAY_NAME").unwrap_or(config.name);
         config.listen = address("RELAY_LISTEN")?.unwrap_or(config.listen);
-        config.discovery = address("RELAY_DISCOVERY")?.unwrap_or(config.discovery);
         Ok(config)
     }
 
+    /// What another configuration changes that only a new start brings about.
+    pub fn needs_restart(&self, other: &Config) -> Vec<&'static str> {
+        let peers = |c: &Config| (c.peer_listen, c.peers.clone(), c.peers_all);
+        let changes = [
+            ("name", self.name != other.name),
+            ("listen", self.listen != other.listen),
+            ("limits", self.limits != other.limits),
+            ("peers", peers(self) != peers(other)),
+            ("settings", self.settings != other.settings),
+        ];
+        changes.into_iter().filter(|(_, changed)| *changed).map(|(name, _)| name).collect()
+    }
+
     /// Reads a configuration from its JSON text.
     pub fn parse(text: &[u8]) -> Result<Config, String> {
         let config: Config = serde_json::from_slice(text).map_err(|e| e.to_string())?;
@@ -79,6 +94,17 @@
     }
 }
 
+/// An environment variable that is set to something.
+fn variable(name: &str) -> Option<String> {
+    env::var(name).ok().filter(|value| !value.is_empty())
+}
+
+/// An address that an environment variable holds.
+fn address(name: &str) -> Result<Option<SocketAddr>, String> {
+    let parse = |value: String| value.parse().map_err(|e| format!("{name} is {value:?}: {e}"));
+    variable(name).map(parse).transpose()
+}
+
 fn seed<'de, D: serde::Deserializer<'de>>(text: D) -> Result<u64, D::Error> {
     let digits = String::deserialize(text)?;
     u64::from_str_radix(&digits, 16).map_err(serde::de::Error::custom)
--- a/crates/driver/src/discovery.rs
+++ b/crates/driver/src/discovery.rs
@@ -1,11 +1,13 @@
 //! Discovery: the whole list, then the watch from its version; a broken one is taken up again after a pause.
 
+use std::convert::Infallible;
 use std::fmt;
 use std::future::Future;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_channel::Receiver;
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncWriteExt};
 use log::{info, warn};
@@ -19,9 +21,11 @@
 use crate::Node;
 
 /// A watch tells something at least every 2 s; one that was silent for so long is dead.
-const SILENCE: Duration = Duration::from_secs(5);
+const SILENCE: Duration = Duration::from_secs(3);
+/// Discovery answers at once; a call that has no answer by then is given up.
+const CALL_WAIT: Duration = Duration::from_secs(1);
 /// Pauses between attempts to reach discovery: doubled from the first to the longest.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 /// Bound on a list or a line of changes.
 const MAX_LISTING: usize = 4 * 1024 * 1024;
@@ -52,63 +56,161 @@
     }
 }
 
-/// Follows the list for as long as the driver runs.
-pub async fn follow(node: Rc<Node>, address: SocketAddr, module: ModuleHandle) {
-    let mut version = None;
-    let mut pause = FIRST_PAUSE;
-    let mut down = false;
+/// Follows the list for as long as the driver runs: at this address, and later at each that `addresses` names, from
+/// the time at which that one has given its whole list. Until then the one before is still heeded.
+pub async fn follow(
+    node: Rc<Node>,
+    address: SocketAddr,
+    addresses: Receiver<SocketAddr>,
+    module: ModuleHandle,
+) {
+    let (mut address, mut version) = (address, None);
+    loop {
+        // The first of both is looked at first: once the new list is in, the old watch says nothing any more.
+        let moved = moved(&node, &addresses);
+        let (next, listing) = future::or(moved, follow_one(&node, address, version, &module)).await;
+        info!("the list is now followed at {next}");
+        (address, version) = (next, Some(listing.generation));
+        module.list(listing).await;
+    }
+}
+
+/// The newest address that is to be followed, once it has given its whole list, with that list.
+async fn moved(node: &Node, addresses: &Receiver<SocketAddr>) -> (SocketAddr, Listing) {
+    let named = || async {
+        match addresses.recv().await {
+            Ok(address) => address,
+            Err(_) => future::pending().await,
+        }
+    };
+    let mut address = named().await;
     loop {
-        let before = version;
-        let end = match watch(&node, address, &module, &mut version, &mut down).await {
-            Ok(()) => continue,
-            Err(end) => end,
+        let newer = async { Err(named().await) };
+        let listing = async { Ok(whole(node, address).await) };
+        match future::or(newer, listing).await {
+            Ok(listing) => return (address, listing),
+            Err(newer) => address = newer,
+        }
+    }
+}
+
+/// The whole list at an address, asked for until it is given.
+async fn whole(node: &Node, address: SocketAddr) -> Listing {
+    let mut calls = Calls::new(address);
+    loop {
+        match list(node, address).await {
+            Ok(listing) => return listing,
+            Err(end) => calls.failed(&end).await,
+        }
+    }
+}
+
+/// Follows the list at one address without end.
+async fn follow_one(
+    node: &Node,
+    address: SocketAddr,
+    mut version: Option<u64>,
+    module: &ModuleHandle,
+) -> (SocketAddr, Listing) {
+    let mut calls = Calls::new(address);
+    loop {
+        let end = match version {
+            None => match list(node, address).await {
+                Ok(listing) => {
+                    calls.answered();
+                    version = Some(listing.generation);
+                    module.list(listing).await;
+                    continue;
+                }
+                Err(end) => end,
+            },
+            Some(from) => watch(node, address, from, module, &mut version, &mut calls).await,
         };
-        let progressed = version != before;
         // Garbled changes may have been missed: the whole list tells.
         if matches!(end, End::Json(_) | End::Http(_) | End::TooLong | End::Status(_)) {
             version = None;
         }
-        if !down {
-            warn!("discovery at {address} is lost: {end}");
-            down = true;
-        }
-        pause = if progressed { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
-        Timer::after(pause).await;
+        calls.failed(&end).await;
     }
 }
 
-/// Fetches the whole list where no version is known, else follows the changes until the watch ends.
+/// Fetches the whole list.
+async fn list(node: &Node, address: SocketAddr) -> Result<Listing, End> {
+    let mut answer = Answer::open(address, "/v1/endpoints").await?;
+    node.stats.count(Counter::Watches);
+    serde_json::from_slice(&answer.part(Part::Whole).await?).map_err(End::Json)
+}
+
+/// Follows the changes after a version, until the watch ends.
 async fn watch(
     node: &Node,
     address: SocketAddr,
+    from: u64,
     module: &ModuleHandle,
     version: &mut Option<u64>,
-    down: &mut bool,
-) -> Result<(), End> {
-    let target = match version {
-        None => "/v1/endpoints".to_string(),
-        Some(version) => format!("/v1/endpoints?watch=1&from={version}"),
-    };
-    let mut answer = Answer::open(address, &target).await?;
-    let is_watch = version.is_some();
-    node.stats.count(Counter::Watches);
-    loop {
-        let line = answer.line(is_watch).await?;
-        if std::mem::take(down) {
-            info!("discovery at {address} is back");
+    calls: &mut Calls,
+) -> End {
+    let changes = async {
+        let mut answer = Answer::open(address, &format!("/v1/endpoints?watch=1&from={from}")).await?;
+        node.stats.count(Counter::Watches);
+        loop {
+            let line = answer.part(Part::Line).await?;
+            if line.trim_ascii().is_empty() {
+                calls.answered();
+                continue;
+            }
+            let listing: Listing = serde_json::from_slice(&line).map_err(End::Json)?;
+            calls.answered();
+            calls.pause = FIRST_PAUSE;
+            *version = Some(listing.generation);
+            module.list(listing).await;
         }
-        if line.trim_ascii().is_empty() {
-            continue;
+    };
+    let ended: Result<Infallible, End> = changes.await;
+    match ended {
+        Err(end) => end,
+        Ok(never) => match never {},
+    }
+}
+
+/// The calls of one address: their pauses, and whether it answers.
+struct Calls {
+    address: SocketAddr,
+    pause: Duration,
+    down: bool,
+}
+
+impl Calls {
+    fn new(address: SocketAddr) -> Self {
+        Calls { address, pause: FIRST_PAUSE, down: false }
+    }
+
+    /// It told something that can be read.
+    fn answered(&mut self) {
+        if std::mem::take(&mut self.down) {
+            info!("discovery at {} is back", self.address);
         }
-        let listing: Listing = serde_json::from_slice(&line).map_err(End::Json)?;
-        *version = Some(listing.generation);
-        module.list(listing).await;
-        if !is_watch {
-            return Ok(());
+    }
+
+    /// A call ended: pauses before the next one, longer each time.
+    async fn failed(&mut self, end: &End) {
+        if !std::mem::replace(&mut self.down, true) {
+            warn!("discovery at {} is lost: {end}", self.address);
         }
+        Timer::after(self.pause).await;
+        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
     }
 }
 
+/// What is wanted of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Part {
+    /// The next line of a watch.
+    Line,
+    /// The whole body of another answer.
+    Whole,
+}
+
 /// An answer of discovery that is being read.
 struct Answer {
     stream: Async<TcpStream>,
@@ -137,11 +239,12 @@
                 }
             }
         };
-        in_time(open).await
+        in_time(CALL_WAIT, open).await
     }
 
-    /// The next line of a watch, or the whole body of another answer.
-    async fn line(&mut self, is_watch: bool) -> Result<Vec<u8>, End> {
+    /// The next part of the body.
+    async fn part(&mut self, part: Part) -> Result<Vec<u8>, End> {
+        let is_watch = part == Part::Line;
         loop {
             let taken = self.response.body(self.buffer.filled(), &mut self.body).map_err(End::Http)?;
             self.buffer.consume(taken);
@@ -157,7 +260,8 @@
             }
             future::yield_now().await;
             let read = async { self.buffer.fill(&mut self.stream).await.map_err(End::Io) };
-            if in_time(read).await? == 0 {
+            let limit = if is_watch { SILENCE } else { CALL_WAIT };
+            if in_time(limit, read).await? == 0 {
                 let whole = self.response.ends_with_connection() && !is_watch;
                 return if whole { Ok(std::mem::take(&mut self.body)) } else { Err(End::Closed) };
             }
@@ -165,6 +269,6 @@
     }
 }
 
-async fn in_time<T>(future: impl Future<Output = Result<T, End>>) -> Result<T, End> {
-    within(SILENCE, future).await.unwrap_or(Err(End::Silent))
+async fn in_time<T>(limit: Duration, future: impl Future<Output = Result<T, End>>) -> Result<T, End> {
+    within(limit, future).await.unwrap_or(Err(End::Silent))
 }
--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -19,17 +19,21 @@
 pub mod pg;
 pub mod pulse;
 pub mod shutdown;
+pub mod signals;
 pub mod stats;
 
 use std::cell::Cell;
 use std::future::Future;
-use std::net::{TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::pin::pin;
 use std::rc::Rc;
 
+use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Async;
 use beaconshore_settings::Site;
-use log::info;
+use futures_lite::{Stream, StreamExt};
+use log::{info, warn};
 
 pub use config::Config;
 
@@ -68,8 +72,13 @@
     }
 }
 
-/// Serves until `stop` is ready and all that was taken is answered.
-pub fn run(config: Config, stop: impl Future<Output = ()> + 'static) -> Result<(), String> {
+/// Serves until `stop` is ready and all that was taken is answered. Each configuration that `reloads` yields takes
+/// the place of the one before, as far as that needs no new start.
+pub fn run(
+    config: Config,
+    stop: impl Future<Output = ()> + 'static,
+    reloads: impl Stream<Item = Config> + 'static,
+) -> Result<(), String> {
     let bound = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
     let listener = TcpListener::bind(config.listen).map_err(bound("listening for clients"))?;
     let listener = Async::new(listener).map_err(bound("listening for clients"))?;
@@ -90,9 +99,11 @@
 
     let peers = socket.map(|socket| peers::start(&node, socket, &config));
     let (module, handle) = Module::new(node.clone(), &config, peers.as_ref());
-    node.spawn(module.run(config.known));
+    node.spawn(module.run(config.known.clone()));
     peers.into_iter().for_each(|peers| node.spawn(peers.run(handle.clone())));
-    node.spawn(discovery::follow(node.clone(), config.discovery, handle.clone()));
+    let (moves, addresses) = async_channel::unbounded();
+    node.spawn(discovery::follow(node.clone(), config.discovery, addresses, handle.clone()));
+    node.spawn(reload(config, reloads, moves));
     let clients = client::Clients::new(node.clone(), handle);
     node.spawn({
         let node = node.clone();
@@ -103,3 +114,20 @@
     info!("counts: {}", node.stats.line());
     Ok(())
 }
+
+/// Applies new configurations: the address of discovery, at which the list is fetched anew. What else has changed
+/// is named as needing a new start.
+async fn reload(mut config: Config, reloads: impl Stream<Item = Config>, moves: Sender<SocketAddr>) {
+    let mut reloads = pin!(reloads);
+    while let Some(new) = reloads.next().await {
+        info!("configuration read again, discovery at {}", new.discovery);
+        let changes = config.needs_restart(&new);
+        if !changes.is_empty() {
+            warn!("only a new start changes: {}", changes.join(", "));
+        }
+        if new.discovery != config.discovery {
+            config.discovery = new.discovery;
+            let _ = moves.send(new.discovery).await;
+        }
+    }
+}
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -2,12 +2,14 @@
 
 use std::process::ExitCode;
 
-use beaconshore_driver::{run, shutdown, Config};
+use beaconshore_driver::{run, signals, Config};
 use env_logger::Env;
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(Env::default().default_filter_or("info")).init();
-    let done = Config::from_env().and_then(|config| run(config, shutdown::signalled()));
+    // Before all else: a signal that is not caught ends the process.
+    let (stop, reloads) = (signals::stop(), signals::reloads());
+    let done = Config::from_env().and_then(|config| run(config, stop, reloads));
     done.map_or_else(
         |message| {
             eprintln!("beaconshore: {message}");
--- a/crates/driver/src/shutdown.rs
+++ b/crates/driver/src/shutdown.rs
@@ -6,8 +6,7 @@
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
-use async_signal::{Signal, Signals};
-use futures_lite::{future, StreamExt};
+use futures_lite::future;
 use log::{info, warn};
 
 use crate::client::Clients;
@@ -20,17 +19,6 @@
 /// Pause after an accept that failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Ready once the process is asked to stop.
-pub async fn signalled() {
-    match Signals::new([Signal::Term, Signal::Int]) {
-        Ok(mut signals) => drop(signals.next().await),
-        Err(e) => {
-            warn!("signals can't be received: {e}");
-            future::pending().await
-        }
-    }
-}
-
 /// Accepts clients; once `stop` is ready, has all that was taken answered, and ends.
 pub async fn serve(
     node: Rc<Node>,
--- a/crates/driver/tests/common/discovery.rs
+++ b/crates/driver/tests/common/discovery.rs
@@ -18,6 +18,8 @@
     pub silent: bool,
     /// Sends junk to so many watches, and ends them.
     pub garble: usize,
+    /// Answers so many calls with an error.
+    pub failing: usize,
     /// What was asked.
     pub asked: Vec<String>,
 }
@@ -36,8 +38,13 @@
 
 impl Discovery {
     pub fn start(members: &[Member]) -> Discovery {
+        Discovery::at_version(1, members)
+    }
+
+    /// One whose list has this version.
+    pub fn at_version(version: u64, members: &[Member]) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let changes = members.iter().map(|m| (1, entry(m, "ready"))).collect();
+        let changes = members.iter().map(|m| (version, entry(m, "ready"))).collect();
         let state = Arc::new(Mutex::new(State { changes, ..State::default() }));
         let discovery = Discovery { address: listener.local_addr().unwrap(), state };
         let serving = discovery.clone();
@@ -102,6 +109,14 @@
             while stream.read(&mut [0; 64])? > 0 {}
             return Ok(());
         }
+        let failing = self.set(|s| {
+            let left = s.failing;
+            s.failing = left.saturating_sub(1);
+            left
+        });
+        if failing > 0 {
+            return write!(stream, "HTTP/1.1 503 Not Now\r\nContent-Length: 0\r\n\r\n");
+        }
         let Some((_, from)) = target.split_once("watch=1&from=") else {
             let (_, list) = self.listing(0, true).unwrap();
             let text = list.to_string();
--- a/crates/driver/tests/common/driver.rs
+++ b/crates/driver/tests/common/driver.rs
@@ -98,12 +98,13 @@
 
 static FILES: AtomicU64 = AtomicU64::new(0);
 
-/// Starts the program with this text as its configuration.
-pub fn spawn(text: &str) -> (Child, PathBuf) {
+/// Starts the program with this text as its configuration; the address of discovery is set beside it, if given.
+pub fn spawn(text: &str, discovery: Option<&str>) -> (Child, PathBuf) {
     let number = FILES.fetch_add(1, Ordering::Relaxed);
     let file = env::temp_dir().join(format!("beaconshore-test-{}-{number}.json", process::id()));
     fs::write(&file, text).unwrap();
-    let child = Command::new(env!("CARGO_BIN_EXE_beaconshore"))
+    let mut command = Command::new(env!("CARGO_BIN_EXE_beaconshore"));
+    command
         .env("RELAY_CONFIG", &file)
         .env("RUST_LOG", "debug")
         .env_remove("RELAY_LISTEN")
@@ -111,16 +112,17 @@
         .env_remove("RELAY_NAME")
         .stdin(Stdio::null())
         .stdout(Stdio::null())
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the program starts");
-    (child, file)
+        .stderr(Stdio::piped());
+    if let Some(discovery) = discovery {
+        command.env("RELAY_DISCOVERY", discovery);
+    }
+    (command.spawn().expect("the program starts"), file)
 }
 
 impl Driver {
     pub fn start(config: Value) -> Driver {
         let address = config["listen"].as_str().unwrap().parse().unwrap();
-        let (mut child, file) = spawn(&config.to_string());
+        let (mut child, file) = spawn(&config.to_string(), config["discovery"].as_str());
         let log = Arc::new(Mutex::new(Vec::new()));
         let (stderr, lines) = (BufReader::new(child.stderr.take().unwrap()), log.clone());
         thread::spawn(move || {
@@ -157,6 +159,21 @@
         assert!(Command::new("sh").args(["-c", &command]).status().unwrap().success());
     }
 
+    /// Replaces the configuration file, as a whole, and tells the program to read it again.
+    pub fn reload(&self, text: &str) {
+        let new = self.file.with_extension("new");
+        fs::write(&new, text).unwrap();
+        fs::rename(new, &self.file).unwrap();
+        self.signal("HUP");
+    }
+
+    /// Its configuration with another address of discovery.
+    pub fn moved_to(&self, discovery: &Discovery) -> Value {
+        let mut config = self.config.clone();
+        config["discovery"] = discovery.address.to_string().into();
+        config
+    }
+
     /// Waits for the program's end.
     pub fn ended(&mut self) -> ExitStatus {
         let mut status = None;
--- a/crates/driver/tests/common/mod.rs
+++ b/crates/driver/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A driver as a program, with this repository's own stand-ins for what is around it: members, discovery,
 //! clients. All wait for conditions, and every wait has an end.
 
-#![allow(dead_code, missing_docs)] // Each test program uses a part of it.
+#![allow(dead_code, unused_imports, missing_docs)] // Each test program uses a part of it.
 
 pub mod client;
 pub mod discovery;
--- a/crates/driver/tests/troubles.rs
+++ b/crates/driver/tests/troubles.rs
@@ -255,7 +255,7 @@
 fn a_configuration_that_cannot_be_read_ends_it_with_one_plain_line() {
     use std::io::Read;
     for text in ["", "{}", "{\"name\":3}", "no json"] {
-        let (mut child, file) = common::driver::spawn(text);
+        let (mut child, file) = common::driver::spawn(text, None);
         let mut said = String::new();
         child.stderr.take().unwrap().read_to_string(&mut said).unwrap();
         let status = child.wait().unwrap();
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -117,7 +117,7 @@
 }
 
 /// All that the settings hold: what the module is given, and what its surroundings need to speak for it.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(try_from = "Facts")]
 pub struct Site {
     /// The decision module's part.
@@ -127,7 +127,7 @@
 }
 
 /// What is kept of the settings to translate events and actions.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Dialect {
     /// Clock time from which positions are counted where they are not absolute.
     pub zero: api::Micros,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -73,7 +73,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// How fresh its data must be.
     pub consistency: Consistency,
@@ -117,7 +117,7 @@
 }
 
 /// What the site permits.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
     /// Attempts for each request.
     pub max_attempts: u32,
@@ -132,7 +132,7 @@
 }
 
 /// The figures of the rules.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RuleFigures {
     /// Unsubscribed and silent for this long, a router counts as told of all that was listed.
     pub ask_within: Micros,
@@ -149,7 +149,7 @@
 }
 
 /// All that a router is told at start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The zone in which this router runs.
     pub zone: ZoneId,
