--- a/crates/driver/src/buffer.rs
+++ b/crates/driver/src/buffer.rs
@@ -1,18 +1,26 @@
 //! A connection's read buffer: messages are slices of it until they are consumed.
+//!
+//! It takes no memory while nothing is in it, little for usual messages, and more for a large one only with a
+//! place among the few that may be large at once.
 
 use std::io;
 
 use futures_lite::{AsyncRead, AsyncReadExt};
 
-/// Room made for each read, and kept between messages; what a large value took beyond it is given back.
+use crate::budget::Share;
+
+/// Room made for usual reads.
 const ROOM: usize = 4 * 1024;
+/// A message up to this needs no place among the large ones.
+pub const USUAL: usize = 12 * 1024;
 
 /// Bytes that were read and not yet consumed.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct Buffer {
     bytes: Vec<u8>,
     start: usize,
     end: usize,
+    large: Option<Share>,
 }
 
 impl Buffer {
@@ -21,24 +29,41 @@
         &self.bytes[self.start..self.end]
     }
 
-    /// Drops so many bytes from the front.
-    pub fn consume(&mut self, count: usize) {
+    /// Drops so many bytes from the front, and the memory with the last one; yields the place of a large message.
+    pub fn consume(&mut self, count: usize) -> Option<Share> {
         self.start += count.min(self.end - self.start);
-        if self.start == self.end {
-            (self.start, self.end) = (0, 0);
-            if self.bytes.len() > ROOM {
-                self.bytes = Vec::new();
-            }
+        if self.start < self.end {
+            return None;
         }
+        std::mem::take(self).large
     }
 
-    /// Reads once; 0 is the end of the stream. Losing this future loses no bytes.
-    pub async fn fill(&mut self, stream: &mut (impl AsyncRead + Unpin)) -> io::Result<usize> {
-        if self.bytes.len() - self.end < ROOM / 4 {
+    /// Whether a message of this length is whole only with more room, which needs a place among the large ones.
+    pub fn lacks_room(&self, length: usize) -> bool {
+        length > USUAL && self.large.is_none()
+    }
+
+    /// Gives room to a large message.
+    pub fn grant(&mut self, large: Share) {
+        self.large = Some(large);
+    }
+
+    /// Whether there is room to read on in any case: for what usual messages take.
+    pub fn has_room(&self) -> bool {
+        self.filled().len() < ROOM
+    }
+
+    /// Reads once, towards a message of this length (0: not known yet); 0 is the end of the stream. Losing this future
+    /// loses no bytes.
+    pub async fn fill(&mut self, length: usize, stream: &mut (impl AsyncRead + Unpin)) -> io::Result<usize> {
+        let wanted = length.max(ROOM);
+        if self.end == self.bytes.len() || self.start + wanted > self.bytes.len() {
             self.bytes.copy_within(self.start..self.end, 0);
             (self.start, self.end) = (0, self.end - self.start);
-            let wanted = (self.end + ROOM).max(if self.end > ROOM { 2 * self.end } else { 0 });
-            self.bytes.resize(wanted.max(self.bytes.len()), 0);
+            if wanted > self.bytes.len() {
+                self.bytes.reserve_exact(wanted - self.bytes.len());
+                self.bytes.resize(wanted, 0);
+            }
         }
         let count = stream.read(&mut self.bytes[self.end..]).await?;
         self.end += count;
--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -4,9 +4,9 @@
 use std::cell::Cell;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use async_io::Async;
@@ -14,21 +14,31 @@
 use futures_lite::{future, AsyncWriteExt};
 use log::debug;
 
+use crate::budget::Share;
 use crate::buffer::Buffer;
-use crate::clock::within;
-use crate::descriptors::Permit;
+use crate::clock::{until, within};
+use crate::descriptors::{Permit, Rank, Rest};
 use crate::module::{Arrival, Mail, ModuleHandle, Statement};
 use crate::pg::{self, sqlstate, Frontend, Opening, Severity};
 use crate::stats::Counter;
 use crate::Node;
 
 /// A client that doesn't read its answer for so long is gone.
-const WRITE_WAIT: Duration = Duration::from_secs(10);
-/// A new connection is not idle for so long: its first request is on the way.
-const FIRST_WAIT: Duration = Duration::from_secs(1);
+const WRITE_WAIT: Duration = Duration::from_secs(5);
+/// A new connection's first request is whole within this, as is any message once it has begun.
+const MESSAGE_WAIT: Duration = Duration::from_secs(2);
+/// A connection without a request for so long ends.
+const IDLE_WAIT: Duration = Duration::from_secs(20);
+/// What has just begun, a connection or a message, is not asked to make room for so long.
+const SPARED: Duration = Duration::from_millis(100);
+/// Messages in a row that are no requests end a connection.
+const MAX_USELESS: u32 = 16;
+/// After an error that ends its connection, a client has so long to read it, and so much that it still sends is
+/// taken: closing over unread input may destroy what it was told.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 256 * 1024;
 
 /// What reaches the actor of a client's connection.
-#[derive(Debug)]
 pub enum ClientMail {
     /// The final answer to its request.
     Answer(RequestId, Answer),
@@ -36,11 +46,19 @@
     Close,
 }
 
+/// What a member served.
+#[derive(Default)]
+pub struct Served {
+    /// Its messages up to CommandComplete.
+    pub messages: Vec<u8>,
+    /// The place among the large answers, if it is one.
+    pub large: Option<Share>,
+}
+
 /// A final answer.
-#[derive(Debug, PartialEq, Eq)]
 pub enum Answer {
-    /// Served: a member's messages up to CommandComplete.
-    Served(Vec<u8>),
+    /// Served.
+    Served(Served),
     /// Refused: trying again is harmless, best after so long (0: no advice).
     Refused(Micros),
     /// Failed.
@@ -68,7 +86,20 @@
         // It gets at most one answer, and one wish to close for each time that it was idle.
         let (sender, mailbox) = async_channel::unbounded();
         let (clients, buffer) = (self.clone(), Buffer::default());
-        let connection = Connection { clients, stream, buffer, read_at: 0, sender, mailbox, is_new: true };
+        let (read_at, answered_at, useless, since) = (0, 0, 0, Instant::now());
+        let state = State::New;
+        let mut connection = Connection {
+            clients,
+            stream,
+            buffer,
+            read_at,
+            answered_at,
+            sender,
+            mailbox,
+            state,
+            since,
+            useless,
+        };
         self.node.spawn(async move {
             if let Err(end) = connection.serve().await {
                 debug!("a client's connection ended: {end}");
@@ -95,36 +126,53 @@
     Mail(ClientMail),
 }
 
+/// What a connection was good for so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// No request has come yet.
+    New,
+    /// One has.
+    Used,
+}
+
 struct Connection {
     clients: Rc<Clients>,
     stream: Async<TcpStream>,
     buffer: Buffer,
     /// When the newest bytes came, at the earliest.
     read_at: Micros,
+    /// When the last answer was written: only then does a request that came before it begin to wait.
+    answered_at: Micros,
     sender: Sender<ClientMail>,
     mailbox: Receiver<ClientMail>,
-    /// No request has come yet, and its time to come is not over.
-    is_new: bool,
+    state: State,
+    /// When the connection began or, once it was of use, its message at hand, or its rest.
+    since: Instant,
+    /// Messages in a row that were no requests.
+    useless: u32,
 }
 
 impl Connection {
-    async fn serve(mut self) -> io::Result<()> {
+    async fn serve(&mut self) -> io::Result<()> {
         loop {
             match pg::opening(self.buffer.filled()) {
                 Ok(None) => {
-                    if !self.more().await? {
+                    if !self.more(pg::opening_length(self.buffer.filled())).await? {
                         return Ok(());
                     }
                 }
                 Ok(Some((opening, length))) => {
-                    self.buffer.consume(length);
+                    drop(self.buffer.consume(length));
                     match opening {
-                        Opening::Encryption => self.write(&[pg::NO_ENCRYPTION]).await?,
+                        Opening::Encryption => {
+                            self.note_useless()?;
+                            self.write(&[pg::NO_ENCRYPTION]).await?;
+                        }
                         Opening::Cancel => return Ok(()),
                         Opening::Startup => break,
                     }
                 }
-                Err(broken) => return self.give_up(broken).await,
+                Err(broken) => return self.give_up(broken.sqlstate(), &broken.to_string()).await,
             }
         }
         let mut out = Vec::new();
@@ -135,13 +183,14 @@
         loop {
             let (message, length) = match pg::frontend(self.buffer.filled()) {
                 Ok(Some(parsed)) => parsed,
-                Ok(None) => match self.more().await? {
+                Ok(None) => match self.more(pg::length(self.buffer.filled())).await? {
                     true => continue,
                     false => return Ok(()),
                 },
-                Err(broken) => return self.give_up(broken).await,
+                Err(broken) => return self.give_up(broken.sqlstate(), &broken.to_string()).await,
             };
             out.clear();
+            let mut is_of_use = false;
             match message {
                 Frontend::Terminate => return Ok(()),
                 Frontend::Ignored => {}
@@ -156,15 +205,20 @@
                     pg::put_error(&mut out, Severity::Error, code, "only simple queries are taken", None);
                 }
                 Frontend::Query(query) if query.trim_ascii().is_empty() => {
+                    is_of_use = true;
                     pg::put_empty(&mut out);
                     pg::put_ready(&mut out);
                 }
                 Frontend::Query(query) => match self.arrival(query) {
                     Ok(arrival) => {
-                        self.buffer.consume(length);
+                        // A large one keeps its place until it is answered.
+                        let large = self.buffer.consume(length);
+                        self.note_use();
                         if !self.request(arrival).await? {
                             return Ok(());
                         }
+                        drop(large);
+                        self.note_use();
                         continue;
                     }
                     Err((code, text)) => {
@@ -174,15 +228,41 @@
                     }
                 },
             }
-            self.buffer.consume(length);
+            drop(self.buffer.consume(length));
             if !out.is_empty() {
                 self.write(&out).await?;
             }
-            // One that sends without end what needs no answer is not to hold up the others.
+            match is_of_use {
+                true => self.note_use(),
+                false if self.note_useless().is_err() => {
+                    let text = "too many messages in a row were no requests";
+                    return self.give_up(sqlstate::PROTOCOL_VIOLATION, text).await;
+                }
+                false => {}
+            }
+            // One that sends without end is not to hold up the others.
             future::yield_now().await;
         }
     }
 
+    /// Notes a request, or its answer: what comes next begins now.
+    fn note_use(&mut self) {
+        (self.state, self.since, self.useless) = (State::Used, Instant::now(), 0);
+    }
+
+    /// Notes a message that was no request; an error if there were too many.
+    fn note_useless(&mut self) -> io::Result<()> {
+        self.useless += 1;
+        if self.state == State::Used {
+            self.since = Instant::now();
+        }
+        if self.useless < MAX_USELESS {
+            Ok(())
+        } else {
+            Err(io::ErrorKind::InvalidData.into())
+        }
+    }
+
     /// A request as the module takes it: its statement is copied, since it outlives the buffer.
     fn arrival(&self, query: &[u8]) -> Result<Arrival, pg::BadRequest> {
         let node = &self.clients.node;
@@ -194,14 +274,23 @@
             return Err((sqlstate::INVALID_PARAMETER_VALUE, "a request of this class needs a key"));
         }
         let in_session = matches!(facts.consistency, Consistency::Write | Consistency::Session);
+        let name: Rc<[u8]> = text.id.as_bytes().into();
+        if !node.ids.take(&name, node.clock.now()) {
+            return Err((sqlstate::DUPLICATE_OBJECT, "another request has this id"));
+        }
         let id = node.requests.get() + 1;
         node.requests.set(id);
+        // One that came behind others begins to wait when it is its turn.
+        let from = self.read_at.max(self.answered_at);
+        // No client waits longer than its class does over all its tries.
+        let wait = (u64::from(text.wait_ms) * 1000).min(facts.deadline);
         Ok(Arrival {
             id: RequestId(id),
+            name,
             class,
             group: text.group,
             session: in_session.then(|| session(text.key)),
-            ends: self.read_at + u64::from(text.wait_ms) * 1000,
+            ends: from + wait,
             repeat: text.repeat,
             after: text.after,
             statement: Rc::new(Statement { text: query.into(), wait_at: text.wait_at }),
@@ -211,28 +300,16 @@
 
     /// Has a request answered; false if the connection is to end.
     async fn request(&mut self, arrival: Arrival) -> io::Result<bool> {
-        let id = arrival.id;
-        self.is_new = false;
-        self.clients.node.stats.count(Counter::Requests);
-        self.clients.module.send(Mail::Request(Box::new(arrival)));
-        let answer = loop {
-            // Input that can't be looked at yet is only read as far as the next request may reach.
-            let reads = self.buffer.filled().len() < pg::MAX_QUERY;
-            match self.wake(reads).await {
-                Wake::Mail(ClientMail::Answer(of, answer)) => {
-                    self.clients.node.stats.check(of == id, "an answer reaches the request that it is for");
-                    break answer;
-                }
-                Wake::Mail(ClientMail::Close) | Wake::Input(Ok(1..)) => {}
-                Wake::Input(end) => {
-                    self.clients.module.send(Mail::HungUp(id));
-                    return end.map(|_| false);
-                }
-            }
-        };
-        let mut out = Vec::new();
+        let clients = self.clients.clone();
+        let (node, id, name) = (&clients.node, arrival.id, arrival.name.clone());
+        node.stats.count(Counter::Requests);
+        clients.module.send(Mail::Request(Box::new(arrival)));
+        let answer = self.answer(id).await;
+        node.ids.release(name, node.clock.now());
+        let Some(answer) = answer? else { return Ok(false) };
+        let (mut out, mut _large) = (Vec::new(), None);
         match answer {
-            Answer::Served(messages) => out = messages,
+            Answer::Served(served) => (out, _large) = (served.messages, served.large),
             Answer::Refused(pause) => {
                 let detail = (pause > 0).then(|| pause.div_ceil(1000).to_string());
                 let (code, text) = (sqlstate::TOO_MANY_CONNECTIONS, "refused; trying again is harmless");
@@ -245,42 +322,94 @@
         }
         pg::put_ready(&mut out);
         self.write(&out).await?;
+        self.answered_at = node.clock.now();
         Ok(true)
     }
 
-    /// Reads more while no request is open; false if the connection is to end.
-    async fn more(&mut self) -> io::Result<bool> {
-        if self.is_new {
-            match within(FIRST_WAIT, self.wake(true)).await {
-                Some(Wake::Input(read)) => return Ok(read? > 0),
-                Some(Wake::Mail(_)) | None => self.is_new = false,
+    /// Waits for a request's answer; none if its client has gone.
+    async fn answer(&mut self, id: RequestId) -> io::Result<Option<Answer>> {
+        loop {
+            // Of input that can't be looked at yet, only a little is read.
+            match self.wake(0, self.buffer.has_room()).await {
+                Wake::Mail(ClientMail::Answer(of, answer)) => {
+                    self.clients.node.stats.check(of == id, "an answer reaches the request that it is for");
+                    return Ok(Some(answer));
+                }
+                Wake::Mail(ClientMail::Close) | Wake::Input(Ok(1..)) => {}
+                Wake::Input(end) => {
+                    self.clients.module.send(Mail::HungUp(id));
+                    return end.map(|_| None);
+                }
             }
         }
+    }
+
+    /// Reads more while no request is open, towards a message of this length (0: not known yet); false if the
+    /// connection is to end.
+    async fn more(&mut self, length: usize) -> io::Result<bool> {
         let clients = self.clients.clone();
-        let (places, sender) = (&clients.node.descriptors.clients, self.sender.clone());
-        let turn = places.rest(move || drop(sender.try_send(ClientMail::Close)));
-        let wake = if clients.closing.get() && self.buffer.filled().is_empty() {
-            Wake::Mail(ClientMail::Close)
-        } else {
-            self.wake(true).await
-        };
-        places.wake(turn);
-        match wake {
-            Wake::Input(read) => Ok(read? > 0),
-            Wake::Mail(ClientMail::Close) => {
-                // What has come meanwhile is served before the connection ends.
-                let read = future::poll_once(self.buffer.fill(&mut self.stream)).await;
-                self.note_read();
-                read.map_or(Ok(false), |read| Ok(read? > 0))
+        let has_begun = !self.buffer.filled().is_empty();
+        let at_work = has_begun || self.state == State::New;
+        let deadline = self.since + if at_work { MESSAGE_WAIT } else { IDLE_WAIT };
+        if self.buffer.lacks_room(length) {
+            let large = clients.node.budget.requests.acquire_arc();
+            match until(deadline, large).await {
+                Some(large) => self.buffer.grant(large),
+                None => return self.stalled().await,
+            }
+        }
+        if at_work {
+            match until(self.since + SPARED, self.wake(length, true)).await {
+                Some(Wake::Input(read)) => return Ok(read? > 0),
+                Some(Wake::Mail(_)) | None => {}
             }
-            Wake::Mail(ClientMail::Answer(..)) => {
+        }
+        if clients.closing.get() && !has_begun {
+            return self.last_look().await;
+        }
+        let rank = if at_work { Rank::Useless } else { Rank::Used };
+        let rest = self.rest(rank);
+        let wake = until(deadline, self.wake(length, true)).await;
+        drop(rest);
+        match wake {
+            Some(Wake::Input(read)) => Ok(read? > 0),
+            Some(Wake::Mail(ClientMail::Close)) => self.last_look().await,
+            Some(Wake::Mail(ClientMail::Answer(..))) => {
                 clients.node.stats.check(false, "an answer comes only while its request is open");
                 Ok(true)
             }
+            None if has_begun => self.stalled().await,
+            None => self.last_look().await,
         }
     }
 
-    async fn wake(&mut self, reads: bool) -> Wake {
+    /// Has this connection asked to go when places run short, until what is returned is dropped.
+    fn rest(&self, rank: Rank) -> Rest {
+        let sender = self.sender.clone();
+        self.clients.node.descriptors.clients.rest(rank, move || drop(sender.try_send(ClientMail::Close)))
+    }
+
+    /// What has come meanwhile is served before a connection ends; false if nothing has.
+    async fn last_look(&mut self) -> io::Result<bool> {
+        let read = future::poll_once(self.buffer.fill(0, &mut self.stream)).await;
+        self.note_read();
+        let stays = read.map_or(Ok(false), |read| Ok::<_, io::Error>(read? > 0))?;
+        if stays {
+            self.clients.node.descriptors.clients.asked_in_vain();
+        }
+        Ok(stays)
+    }
+
+    /// A message that has begun has not become whole in time.
+    async fn stalled(&mut self) -> io::Result<bool> {
+        self.give_up(sqlstate::PROTOCOL_VIOLATION, "the message has not come whole in time")
+            .await
+            .map(|()| false)
+    }
+
+    /// Waits for mail and, if wanted, for input.
+    async fn wake(&mut self, length: usize, reads: bool) -> Wake {
+        let was_empty = self.buffer.filled().is_empty();
         let mail = async {
             match self.mailbox.recv().await {
                 Ok(mail) => Wake::Mail(mail),
@@ -288,14 +417,23 @@
             }
         };
         let input = async {
-            match reads {
-                true => Wake::Input(self.buffer.fill(&mut self.stream).await),
-                false => future::pending().await,
+            if !reads {
+                return future::pending().await;
             }
+            // Nothing to read takes no memory.
+            if self.buffer.filled().is_empty() {
+                if let Err(e) = self.stream.readable().await {
+                    return Wake::Input(Err(e));
+                }
+            }
+            Wake::Input(self.buffer.fill(length, &mut self.stream).await)
         };
         let wake = future::or(mail, input).await;
         if let Wake::Input(_) = wake {
             self.note_read();
+            if was_empty && self.state == State::Used {
+                self.since = Instant::now();
+            }
         }
         wake
     }
@@ -311,11 +449,22 @@
     }
 
     /// Tells a client whose stream can't be followed why, and ends it.
-    async fn give_up(&mut self, broken: pg::Broken) -> io::Result<()> {
+    async fn give_up(&mut self, code: &str, text: &str) -> io::Result<()> {
         self.clients.node.stats.count(Counter::BadStreams);
         let mut out = Vec::new();
-        pg::put_error(&mut out, Severity::Fatal, broken.sqlstate(), &broken.to_string(), None);
-        self.write(&out).await
+        pg::put_error(&mut out, Severity::Fatal, code, text, None);
+        self.write(&out).await?;
+        self.stream.get_ref().shutdown(Shutdown::Write)?;
+        let _rest = self.rest(Rank::Useless);
+        let (end, mut left) = (Instant::now() + LINGER, LINGER_BYTES);
+        loop {
+            self.buffer = Buffer::default();
+            match until(end, self.wake(0, true)).await {
+                Some(Wake::Input(Ok(read @ 1..))) if read < left => left -= read,
+                _ => return Ok(()),
+            }
+            future::yield_now().await;
+        }
     }
 }
 
--- a/crates/driver/src/config.rs
+++ b/crates/driver/src/config.rs
@@ -45,6 +45,14 @@
 pub struct Limits {
     /// File descriptors that the driver may hold.
     pub sockets: usize,
+    /// Megabytes of memory that it may take.
+    #[serde(default = "ample")]
+    pub memory_mb: usize,
+}
+
+/// Memory of a machine that names no limit.
+fn ample() -> usize {
+    256
 }
 
 impl Config {
--- a/crates/driver/src/discovery.rs
+++ b/crates/driver/src/discovery.rs
@@ -27,6 +27,8 @@
 /// Pauses between attempts to reach discovery: doubled from the first to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// Room for each read.
+const ROOM: usize = 4 * 1024;
 /// Bound on a list or a line of changes.
 const MAX_LISTING: usize = 4 * 1024 * 1024;
 
@@ -228,13 +230,13 @@
             let mut buffer = Buffer::default();
             loop {
                 if let Some((response, length)) = http::head(buffer.filled()).map_err(End::Http)? {
-                    buffer.consume(length);
+                    drop(buffer.consume(length));
                     if response.status != 200 {
                         return Err(End::Status(response.status));
                     }
                     return Ok(Answer { stream, buffer, response, body: Vec::new() });
                 }
-                if buffer.fill(&mut stream).await.map_err(End::Io)? == 0 {
+                if buffer.fill(buffer.filled().len() + ROOM, &mut stream).await.map_err(End::Io)? == 0 {
                     return Err(End::Closed);
                 }
             }
@@ -247,7 +249,7 @@
         let is_watch = part == Part::Line;
         loop {
             let taken = self.response.body(self.buffer.filled(), &mut self.body).map_err(End::Http)?;
-            self.buffer.consume(taken);
+            drop(self.buffer.consume(taken));
             if let Some(end) = self.body.iter().position(|&b| b == b'\n').filter(|_| is_watch) {
                 let rest = self.body.split_off(end + 1);
                 return Ok(std::mem::replace(&mut self.body, rest));
@@ -259,7 +261,8 @@
                 return Err(End::TooLong);
             }
             future::yield_now().await;
-            let read = async { self.buffer.fill(&mut self.stream).await.map_err(End::Io) };
+            let wanted = self.buffer.filled().len() + ROOM;
+            let read = async { self.buffer.fill(wanted, &mut self.stream).await.map_err(End::Io) };
             let limit = if is_watch { SILENCE } else { CALL_WAIT };
             if in_time(limit, read).await? == 0 {
                 let whole = self.response.ends_with_connection() && !is_watch;
--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -5,6 +5,7 @@
 //! places for descriptors: one for each client's connection, for each member, for the list, for the peers, and
 //! for the module, which alone sees a request's whole life.
 
+pub mod budget;
 pub mod buffer;
 pub mod client;
 pub mod clock;
@@ -12,6 +13,7 @@
 pub mod descriptors;
 pub mod discovery;
 pub mod http;
+pub mod ids;
 pub mod listing;
 pub mod member;
 pub mod module;
@@ -37,18 +39,25 @@
 
 pub use config::Config;
 
+use budget::Budget;
 use clock::Clock;
 use descriptors::{Descriptors, Permit, Places};
+use ids::Ids;
 use module::Module;
 use pulse::Pulse;
 use stats::{Counter, Stats};
 
+/// Connections that may wait to be accepted; the system may hold fewer.
+const BACKLOG: i32 = 4096;
+
 /// What all actors of one driver have in common.
 pub struct Node {
     executor: LocalExecutor<'static>,
     clock: Clock,
     site: Site,
     descriptors: Descriptors,
+    budget: Budget,
+    ids: Ids,
     stats: Stats,
     pulse: Pulse,
     requests: Cell<u64>,
@@ -81,6 +90,8 @@
 ) -> Result<(), String> {
     let bound = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
     let listener = TcpListener::bind(config.listen).map_err(bound("listening for clients"))?;
+    // Clients that come by the hundred are not to keep out others: one that finds no room tries again after a second.
+    rustix::net::listen(&listener, BACKLOG).map_err(|e| bound("listening for clients")(e.into()))?;
     let listener = Async::new(listener).map_err(bound("listening for clients"))?;
     let peer_address = config.peer_listen.filter(|_| config.settings.settings.limits.peer_messages);
     let socket = peer_address.map(UdpSocket::bind).transpose().map_err(bound("listening for peers"))?;
@@ -91,6 +102,8 @@
         clock: Clock::start(),
         site: config.settings.clone(),
         descriptors: Descriptors::divide(config.limits.sockets),
+        budget: Budget::divide(config.limits.memory_mb),
+        ids: Ids::default(),
         stats: Stats::default(),
         pulse: Pulse::default(),
         requests: Cell::new(0),
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -17,14 +17,20 @@
 use futures_lite::{future, AsyncWriteExt};
 
 use crate::buffer::Buffer;
+use crate::client::Served;
 use crate::clock::{until, within};
-use crate::descriptors::{Permit, Turn};
+use crate::descriptors::{Permit, Rank, Rest};
 use crate::listing::{FOLLOWER, LEADER};
 use crate::module::{Mail, ModuleHandle, Statement};
 use crate::pg::{self, sqlstate, Backend, Severity};
 use crate::stats::Counter;
 use crate::Node;
 
+/// Once its value is whole, the rest of an answer has so long to come.
+const READY_WAIT: Duration = Duration::from_millis(100);
+/// A message that has begun goes on within this: members send an answer at once.
+const MESSAGE_GAP: Duration = Duration::from_millis(500);
+
 const PROBE_REPORT: &[u8] = b"SHOW server_load";
 const PROBE_ALIVE: &[u8] = b"SELECT 1";
 
@@ -101,8 +107,8 @@
     pub member: MemberId,
     /// How it ended.
     pub outcome: Outcome,
-    /// The messages for the client, if it was served.
-    pub answer: Vec<u8>,
+    /// What is for the client, if it was served.
+    pub served: Served,
     /// What the member said of itself.
     pub told: Told,
     /// Time since it was decided.
@@ -128,7 +134,7 @@
             }
             b"node_role" if value == LEADER => self.note.role = Some(Role::Primary),
             b"node_role" if value == FOLLOWER => self.note.role = Some(Role::Replica),
-            b"server_load" => self.report = report(value),
+            b"server_load" => self.report = report(value).unwrap_or_default(),
             _ => {}
         }
     }
@@ -140,23 +146,28 @@
     }
 }
 
-/// A load report, as `name=value,...`.
-fn report(text: &str) -> Report {
+/// A load report, as `name=value,...`; none if any of it can't be read.
+pub fn report(text: &str) -> Option<Report> {
     let mut report = Report::default();
-    for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
-        let millionths = pg::micro_units(value.trim());
-        match ReportField::named(name.trim()) {
+    for pair in text.split(',') {
+        let (name, value) =
+            pair.split_once('=').filter(|(name, value)| !name.is_empty() && !value.is_empty())?;
+        let field = ReportField::named(name.trim());
+        if field == ReportField::Other {
+            continue;
+        }
+        let millionths = pg::micro_units(value.trim())?;
+        match field {
             // Seconds of Unix time.
-            ReportField::Position => report.position = millionths.filter(|&p| p > 0),
-            ReportField::Role => {
-                report.role = millionths.map(|r| if r == 1_000_000 { Role::Primary } else { Role::Replica });
-            }
-            ReportField::Utilization => report.utilization = millionths.map(|u| u as f64 / 1e6),
-            ReportField::Backlog => report.backlog = millionths.map(|b| b as f64 / 1e6),
+            ReportField::Position => report.position = Some(millionths).filter(|&p| p > 0),
+            ReportField::Role if millionths == 1_000_000 => report.role = Some(Role::Primary),
+            ReportField::Role => report.role = Some(Role::Replica),
+            ReportField::Utilization => report.utilization = Some(millionths as f64 / 1e6),
+            ReportField::Backlog => report.backlog = Some(millionths as f64 / 1e6),
             ReportField::Other => {}
         }
     }
-    report
+    Some(report)
 }
 
 /// A connection to a member that is up.
@@ -170,7 +181,7 @@
 struct Idle {
     connection: Connection,
     since: Instant,
-    turn: Turn,
+    _rest: Rest,
 }
 
 /// The actor of one member.
@@ -208,7 +219,7 @@
         loop {
             let fresh_for = Duration::from_micros(self.node.site.dialect.conn_idle).mul_f64(0.9);
             while self.idle.front().is_some_and(|idle| idle.since.elapsed() >= fresh_for) {
-                self.close_oldest();
+                self.idle.pop_front();
             }
             let mail = match self.idle.front() {
                 Some(idle) => until(idle.since + fresh_for, self.mailbox.recv()).await,
@@ -222,10 +233,13 @@
                 Some(Ok(MemberMail::Probe)) => self.probe(),
                 Some(Ok(MemberMail::Address(address))) => {
                     self.address = address;
-                    self.close_idle();
+                    self.idle.clear();
                 }
-                Some(Ok(MemberMail::CloseIdle)) => self.close_idle(),
-                Some(Ok(MemberMail::CloseOldest)) => self.close_oldest(),
+                Some(Ok(MemberMail::CloseIdle)) => self.idle.clear(),
+                Some(Ok(MemberMail::CloseOldest)) => match self.idle.pop_front() {
+                    Some(oldest) => drop(oldest),
+                    None => self.node.descriptors.members.asked_in_vain(),
+                },
                 Some(Ok(MemberMail::Ended(end, connection))) => {
                     self.running.remove(&end.request);
                     self.rest(connection);
@@ -246,8 +260,8 @@
         let task = self.node.executor.spawn(async move {
             let (reply, connection) = carry(&node, &module, id, address, idle, &attempt).await;
             let took = node.clock.now().saturating_sub(attempt.sent);
-            let Reply { outcome, answer, told } = reply;
-            let end = AttemptEnd { request, member: id, outcome, answer, told, took };
+            let Reply { outcome, served, told } = reply;
+            let end = AttemptEnd { request, member: id, outcome, served, told, took };
             let _ = sender.try_send(MemberMail::Ended(end, connection));
         });
         let earlier = self.running.insert(request, task);
@@ -258,9 +272,9 @@
     async fn cancel(&mut self, request: RequestId) {
         let Some(task) = self.running.remove(&request) else { return };
         if task.cancel().await.is_none() {
-            let (answer, told) = Default::default();
+            let (served, told) = Default::default();
             let end =
-                AttemptEnd { request, member: self.id, outcome: Outcome::Cancelled, answer, told, took: 0 };
+                AttemptEnd { request, member: self.id, outcome: Outcome::Cancelled, served, told, took: 0 };
             self.module.send(Mail::AttemptEnded(Box::new(end)));
         }
     }
@@ -278,7 +292,6 @@
     /// The connection used last that is still open and quiet.
     fn take_idle(&mut self) -> Option<Connection> {
         while let Some(idle) = self.idle.pop_back() {
-            self.node.descriptors.members.wake(idle.turn);
             let quiet = idle.connection.stream.get_ref().peek(&mut [0]);
             if quiet.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock) {
                 self.node.stats.count(Counter::Reused);
@@ -294,32 +307,21 @@
         let Some(connection) = connection.filter(fit) else { return };
         let sender = self.sender.clone();
         let close = move || drop(sender.try_send(MemberMail::CloseOldest));
-        let turn = self.node.descriptors.members.rest(close);
-        self.idle.push_back(Idle { connection, since: Instant::now(), turn });
-    }
-
-    fn close_oldest(&mut self) {
-        let oldest = self.idle.pop_front();
-        oldest.into_iter().for_each(|idle| self.node.descriptors.members.wake(idle.turn));
-    }
-
-    fn close_idle(&mut self) {
-        while !self.idle.is_empty() {
-            self.close_oldest();
-        }
+        let rest = self.node.descriptors.members.rest(Rank::Used, close);
+        self.idle.push_back(Idle { connection, since: Instant::now(), _rest: rest });
     }
 }
 
 /// What came of a statement; a broken connection, as long as its end has not come.
 struct Reply {
     outcome: Outcome,
-    answer: Vec<u8>,
+    served: Served,
     told: Told,
 }
 
 impl Reply {
     fn without_answer(outcome: Outcome) -> Self {
-        Reply { outcome, answer: Vec::new(), told: Told::default() }
+        Reply { outcome, served: Served::default(), told: Told::default() }
     }
 }
 
@@ -353,9 +355,9 @@
     }
     drop(query);
     let mut reply = Reply::without_answer(Outcome::Reset);
-    match until(ends, connection.reply(&mut reply)).await {
-        Some(true) => (reply, Some(connection)),
-        Some(false) => (reply, None),
+    match until(ends, connection.reply(node, &mut reply)).await {
+        Some(End::Ready) => (reply, Some(connection)),
+        Some(End::Broken | End::Spoilt) => (reply, None),
         // Where all but the last message has come, that is the outcome.
         None if reply.outcome != Outcome::Reset => (reply, None),
         None => (Reply { outcome: Outcome::TimedOut, ..reply }, None),
@@ -380,12 +382,14 @@
         pg::put_query(&mut query, &[if has_report { PROBE_REPORT } else { PROBE_ALIVE }]);
         connection.stream.write_all(&query).await.map_err(|_| Outcome::Unreachable)?;
         let mut reply = Reply::without_answer(Outcome::Reset);
-        let reusable = connection.reply(&mut reply).await;
+        let end = connection.reply(node, &mut reply).await;
         let mut told = reply.told;
-        if let Some(value) = pg::single_value(&reply.answer).filter(|_| has_report) {
+        if let Some(value) = pg::single_value(&reply.served.messages).filter(|_| has_report) {
             told.take(b"server_load", value);
         }
-        Ok((reply.outcome, told.as_report(), reusable.then_some(connection)))
+        // An answer that can't be read tells that the member is up, and nothing else.
+        let outcome = if end == End::Spoilt { Outcome::Served } else { reply.outcome };
+        Ok((outcome, told.as_report(), (end == End::Ready).then_some(connection)))
     };
     match within(limit, probe).await {
         Some(Ok(end)) => end,
@@ -433,15 +437,16 @@
                 }
             }
             future::yield_now().await;
-            if self.buffer.fill(&mut self.stream).await.map_or(true, |count| count == 0) {
+            let length = pg::length(self.buffer.filled());
+            if self.fill(length).await.map_or(true, |count| count == 0) {
                 return Err(Outcome::Unreachable);
             }
         }
     }
 
     /// Reads the answer to a statement that was written whole, and keeps up what it amounts to so far; tells
-    /// whether the connection can be used again.
-    async fn reply(&mut self, reply: &mut Reply) -> bool {
+    /// how the reading ended.
+    async fn reply(&mut self, node: &Node, reply: &mut Reply) -> End {
         let mut row = Row::Nothing;
         loop {
             loop {
@@ -449,47 +454,96 @@
                 let (message, length) = match pg::backend(bytes) {
                     Ok(Some(parsed)) => parsed,
                     Ok(None) => break,
-                    Err(_) => {
-                        reply.outcome = Outcome::Reset;
-                        return false;
-                    }
+                    Err(_) => return reply.spoil(row),
                 };
                 match message {
                     Backend::ParameterStatus(name, value) => reply.told.take(name, value),
+                    // Whatever follows a whole row does not belong to it.
+                    Backend::Error(..) | Backend::RowDescription(_) | Backend::DataRow(_)
+                        if row == Row::Complete =>
+                    {
+                        return End::Broken;
+                    }
                     Backend::Error(code, severity) => {
                         reply.outcome = outcome_of(code);
                         if severity == Severity::Fatal {
-                            return false;
+                            return End::Broken;
                         }
                     }
                     Backend::RowDescription(_) | Backend::DataRow(_) | Backend::CommandComplete => {
                         row = row.next(message);
-                        match row {
-                            Row::Complete => reply.outcome = Outcome::Served,
-                            Row::Unfit => reply.outcome = Outcome::Error,
-                            Row::Nothing | Row::Described | Row::Given => {}
+                        if row == Row::Unfit {
+                            return reply.spoil(row);
                         }
                         // One of each at most is kept, so the bound on messages bounds the answer.
-                        if row != Row::Unfit {
-                            reply.answer.extend_from_slice(&bytes[..length]);
+                        reply.served.messages.extend_from_slice(&bytes[..length]);
+                        if row == Row::Complete {
+                            reply.outcome = Outcome::Served;
                         }
                     }
+                    Backend::Ready if reply.outcome == Outcome::Reset => return reply.spoil(row),
                     Backend::Ready | Backend::Authentication(_) | Backend::Other => {}
                 }
                 let ready = message == Backend::Ready;
-                self.buffer.consume(length);
+                let large = self.buffer.consume(length);
+                reply.served.large = reply.served.large.take().or(large);
                 if ready {
-                    return true;
+                    return End::Ready;
                 }
             }
             // One that speaks without end is not to hold up the others.
             future::yield_now().await;
+            let length = pg::length(self.buffer.filled());
+            if self.buffer.lacks_room(length) {
+                self.buffer.grant(node.budget.answers.acquire_arc().await);
+            }
+            let limit = match row {
+                Row::Complete => Some(READY_WAIT),
+                _ if !self.buffer.filled().is_empty() => Some(MESSAGE_GAP),
+                _ => None,
+            };
+            let fill = self.fill(length);
+            let count = match limit {
+                Some(limit) => within(limit, fill).await.unwrap_or(Ok(0)),
+                None => fill.await,
+            };
             // With all but the last message there, what has come is the outcome.
-            if self.buffer.fill(&mut self.stream).await.map_or(true, |count| count == 0) {
-                return false;
+            if count.map_or(true, |count| count == 0) {
+                return End::Broken;
             }
         }
     }
+
+    /// Reads once, towards a message of this length; waiting for its first byte takes no memory.
+    async fn fill(&mut self, length: usize) -> io::Result<usize> {
+        if self.buffer.filled().is_empty() {
+            self.stream.readable().await?;
+        }
+        self.buffer.fill(length, &mut self.stream).await
+    }
+}
+
+/// How the reading of an answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// The member is ready for the next statement.
+    Ready,
+    /// The connection broke, or is of no further use.
+    Broken,
+    /// The answer can't be read, so its connection is of no further use.
+    Spoilt,
+}
+
+impl Reply {
+    /// What follows can't be read. A row that was whole before stays good, as does an error that was told; else the
+    /// member did answer, and may have run the statement, which is what an error of its own would say.
+    fn spoil(&mut self, row: Row) -> End {
+        if row == Row::Complete || self.outcome != Outcome::Reset {
+            return End::Broken;
+        }
+        *self = Reply::without_answer(Outcome::Error);
+        End::Spoilt
+    }
 }
 
 /// How far an answer's single row has come.
--- a/crates/driver/src/module.rs
+++ b/crates/driver/src/module.rs
@@ -53,6 +53,8 @@
 pub struct Arrival {
     /// Its id here.
     pub id: RequestId,
+    /// What its client calls it.
+    pub name: Rc<[u8]>,
     /// Index of its class.
     pub class: usize,
     /// The group it names.
@@ -303,7 +305,7 @@
     }
 
     fn on_end(&mut self, end: AttemptEnd) {
-        let AttemptEnd { request, member, outcome, answer, told, took } = end;
+        let AttemptEnd { request, member, outcome, served, told, took } = end;
         if let Some(open) = self.open.get_mut(&request) {
             let was_out = open.out.take();
             self.node.stats.check(was_out == Some(member), "an attempt that ends was out");
@@ -321,7 +323,7 @@
         };
         counter.into_iter().for_each(|counter| self.node.stats.count(counter));
         if outcome == Outcome::Served {
-            self.answer(request, Answer::Served(answer));
+            self.answer(request, Answer::Served(served));
         }
         let finished = !self.open.contains_key(&request);
         let (note, report) = (told.note, told.report);
--- a/crates/driver/src/pg.rs
+++ b/crates/driver/src/pg.rs
@@ -6,6 +6,8 @@
 use std::fmt;
 use std::ops::Range;
 
+use crate::ids::MAX_ID;
+
 /// Bound on a value, as the store sets it.
 const MAX_VALUE: usize = 64 * 1024;
 /// Bound on a client's message: a value written as a literal of two digits for each byte, and room around it.
@@ -40,6 +42,8 @@
     pub const INVALID_PARAMETER_VALUE: &str = "22023";
     /// A name that is not known here.
     pub const UNDEFINED_OBJECT: &str = "42704";
+    /// An id that another request has.
+    pub const DUPLICATE_OBJECT: &str = "42710";
     /// A message over its bound.
     pub const PROGRAM_LIMIT_EXCEEDED: &str = "54000";
     /// Whether the statement took effect is not known.
@@ -112,6 +116,16 @@
     Ok(Some((opening, length)))
 }
 
+/// Whole length of the first message of a connection; 0 as long as it is not known.
+pub fn opening_length(bytes: &[u8]) -> usize {
+    be_u32(bytes, 0).map_or(0, |length| length as usize)
+}
+
+/// Whole length of a later message; 0 as long as it is not known.
+pub fn length(bytes: &[u8]) -> usize {
+    be_u32(bytes, 1).map_or(0, |length| 1 + length as usize)
+}
+
 /// A client's message after its startup.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Frontend<'a> {
@@ -166,39 +180,67 @@
     Other,
 }
 
-/// Reads a member's next message.
+/// Reads a member's next message. All of it is checked: lengths within lengths, counts, ends of texts.
 pub fn backend(bytes: &[u8]) -> Parsed<Backend<'_>> {
     let bound = |kind| match kind {
         b'D' => Ok(MAX_ANSWER),
         b'R' | b'S' | b'K' | b'Z' | b'T' | b'C' | b'E' | b'N' | b'A' | b'I' => Ok(MAX_SHORT),
         other => Err(Broken::Kind(other)),
     };
-    let Some(((kind, body), length)) = frame(bytes, bound)? else { return Ok(None) };
+    let Some(((kind, body), length)) = frame(bytes, bound)? else {
+        // A value that won't fit its message is known before all of it has come.
+        let row = Some((bytes, length(bytes))).filter(|(b, _)| b.first() == Some(&b'D'));
+        return row
+            .map_or(Ok(()), |(bytes, whole)| row_fits(bytes.get(5..).unwrap_or_default(), whole))
+            .map(|()| None);
+    };
     let message = match kind {
         b'R' => Backend::Authentication(be_u32(body, 0).ok_or(Broken::Content)?),
         b'S' => {
             let (name, rest) = text(body).ok_or(Broken::Content)?;
-            let (value, _) = text(rest).ok_or(Broken::Content)?;
+            let (value, _) = text(rest).filter(|(_, end)| end.is_empty()).ok_or(Broken::Content)?;
             Backend::ParameterStatus(name, value)
         }
-        b'T' => Backend::RowDescription(be_u16(body, 0).ok_or(Broken::Content)?),
+        b'T' => Backend::RowDescription(columns(body).ok_or(Broken::Content)?),
         b'D' => Backend::DataRow(single_column(body)?),
-        b'C' => Backend::CommandComplete,
+        b'C' => {
+            text(body).filter(|(tag, end)| !tag.is_empty() && end.is_empty()).ok_or(Broken::Content)?;
+            Backend::CommandComplete
+        }
         b'E' => {
-            let code = error_field(body, b'C').ok_or(Broken::Content)?;
+            let code = error_field(body, b'C').filter(|_| body.ends_with(&[0, 0])).ok_or(Broken::Content)?;
             let severity = error_field(body, b'V').or(error_field(body, b'S')).unwrap_or_default();
             let fatal = matches!(severity, b"FATAL" | b"PANIC");
             Backend::Error(code, if fatal { Severity::Fatal } else { Severity::Error })
         }
-        b'Z' => Backend::Ready,
+        b'Z' if matches!(body, b"I" | b"T" | b"E") => Backend::Ready,
+        b'Z' => return Err(Broken::Content),
         _ => Backend::Other,
     };
     Ok(Some((message, length)))
 }
 
+/// How many columns a row's description describes, if it does so to its end.
+fn columns(body: &[u8]) -> Option<u16> {
+    /// Table, column, type, its length, its modifier, format.
+    const FACTS: usize = 4 + 2 + 4 + 2 + 4 + 2;
+    let count = be_u16(body, 0)?;
+    let described = (0..count).try_fold(&body[2..], |rest, _| text(rest)?.1.get(FACTS..));
+    described.is_some_and(<[u8]>::is_empty).then_some(count)
+}
+
+/// Whether the start of a row's content goes with the whole length of its message, as far as it has come.
+fn row_fits(body: &[u8], whole: usize) -> Result<(), Broken> {
+    match (be_u16(body, 0), be_u32(body, 2)) {
+        (Some(1), Some(length)) if length != u32::MAX && length as usize + 11 != whole => {
+            Err(Broken::Content)
+        }
+        _ => Ok(()),
+    }
+}
+
 fn single_column(body: &[u8]) -> Result<Option<&[u8]>, Broken> {
-    let columns = be_u16(body, 0).ok_or(Broken::Content)?;
-    if columns != 1 {
+    if be_u16(body, 0).ok_or(Broken::Content)? != 1 {
         return Ok(None);
     }
     match be_u32(body, 2).ok_or(Broken::Content)? {
@@ -349,6 +391,8 @@
 /// What a client's statement says of its request.
 #[derive(Debug, PartialEq, Eq)]
 pub struct RequestText<'a> {
+    /// What its client calls it.
+    pub id: &'a str,
     /// The class, by name.
     pub class: &'a str,
     /// How long the client waits, in milliseconds.
@@ -411,10 +455,12 @@
         }
     }
     let (wait, wait_at) = wait.ok_or(MISSING)?;
-    if id.ok_or(MISSING)?.is_empty() || key.is_some_and(str::is_empty) {
+    let id = id.ok_or(MISSING)?;
+    if !(1..=MAX_ID).contains(&id.len()) || key.is_some_and(str::is_empty) {
         return Err(VALUE);
     }
     Ok(RequestText {
+        id,
         class: class.ok_or(MISSING)?,
         wait_ms: digits(wait).ok_or(VALUE)?,
         wait_at,
--- a/crates/driver/tests/common/driver.rs
+++ b/crates/driver/tests/common/driver.rs
@@ -154,6 +154,13 @@
         fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
     }
 
+    /// The most memory that it held so far, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
+        line.split_ascii_whitespace().nth(1).unwrap().parse::<usize>().unwrap() << 10
+    }
+
     pub fn signal(&self, signal: &str) {
         let command = format!("kill -{signal} {}", self.child.id());
         assert!(Command::new("sh").args(["-c", &command]).status().unwrap().success());
--- a/crates/driver/tests/common/member.rs
+++ b/crates/driver/tests/common/member.rs
@@ -35,6 +35,75 @@
     Unready,
     /// Closes each connection after the answer.
     CloseAfterAnswer,
+    /// Spoils the answer, and leaves the connection open.
+    Spoil(Spoil),
+    /// Answers, and sends the same once more.
+    Twice,
+    /// Answers, with noise in the place of the last message.
+    NoiseBehind,
+}
+
+/// How an answer is spoilt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spoil {
+    /// Noise.
+    Noise,
+    /// A line that never ends.
+    Endless,
+    /// The row's message is longer than its value.
+    LongRow,
+    /// The row's message is shorter than its value.
+    ShortRow,
+    /// The value is said to have 3 GB, in a message of a usual length that stays half.
+    HugeValue,
+    /// The message is said to have 3 GB.
+    HugeMessage,
+    /// The description's column has no end.
+    Description,
+    /// The tag has no end.
+    Tag,
+}
+
+impl Spoil {
+    const ALL: [Spoil; 8] = [
+        Spoil::Noise,
+        Spoil::Endless,
+        Spoil::LongRow,
+        Spoil::ShortRow,
+        Spoil::HugeValue,
+        Spoil::HugeMessage,
+        Spoil::Description,
+        Spoil::Tag,
+    ];
+
+    pub fn all() -> impl Iterator<Item = Spoil> {
+        Spoil::ALL.into_iter()
+    }
+
+    /// What a good answer becomes.
+    fn spoil(self, good: &[u8]) -> Vec<u8> {
+        let mut bytes = good.to_vec();
+        // The row's message is behind the description's; the tag's is the last.
+        let row = 1 + u32::from_be_bytes(*good[1..].first_chunk().unwrap()) as usize;
+        let tag = good.len() - (1 + 4 + b"SELECT 1\0".len());
+        let length = u32::from_be_bytes(*good[row + 1..].first_chunk().unwrap());
+        let mut claim = |at: usize, length: u32| bytes[at..at + 4].copy_from_slice(&length.to_be_bytes());
+        match self {
+            Spoil::Noise => return vec![0xc3; 52],
+            Spoil::Endless => return vec![b'x'; 64 * 1024],
+            Spoil::LongRow => claim(row + 1, length + 3),
+            Spoil::ShortRow => claim(row + 1, length - 3),
+            Spoil::HugeValue => {
+                claim(row + 1, 30_000);
+                claim(row + 7, 3_000_000_000);
+                bytes.truncate(tag);
+            }
+            Spoil::HugeMessage => claim(row + 1, 3_000_000_000),
+            Spoil::Description => bytes[7..row - 18].fill(b'x'),
+            Spoil::Tag => bytes[tag + 5..].fill(b'x'),
+        }
+        bytes
+    }
 }
 
 pub struct State {
@@ -172,6 +241,9 @@
                 Behaviour::Afterthought
                     | Behaviour::Serve
                     | Behaviour::CloseAfterAnswer
+                    | Behaviour::Twice
+                    | Behaviour::NoiseBehind
+                    | Behaviour::Spoil(_)
                     | Behaviour::Code("25006" | "72000")
             ) {
                 put_row(out, report.as_bytes());
@@ -186,8 +258,18 @@
         thread::sleep(pause);
         let mut whole = true;
         match behaviour {
-            Behaviour::Serve | Behaviour::CloseAfterAnswer | Behaviour::Afterthought => {
+            Behaviour::Serve | Behaviour::CloseAfterAnswer | Behaviour::Afterthought | Behaviour::Twice => {
+                put_row(out, &value_of(text));
+            }
+            Behaviour::NoiseBehind => {
                 put_row(out, &value_of(text));
+                out.extend([0xc3; 52]);
+                whole = false;
+            }
+            Behaviour::Spoil(spoil) => {
+                put_row(out, &value_of(text));
+                *out = spoil.spoil(out);
+                whole = spoil == Spoil::Tag;
             }
             Behaviour::Code(code) => put_error(out, "ERROR", code),
             Behaviour::Fatal(code) => {
@@ -219,13 +301,17 @@
             self.told().iter().for_each(|(name, value)| put_status(out, name, value));
             put(out, b'Z', b"I");
         }
+        if behaviour == Behaviour::Twice {
+            out.extend_from_within(..);
+        }
         if behaviour == Behaviour::Afterthought {
             put_error(out, "ERROR", "53300");
             put(out, b'Z', b"I");
         }
         stream.write_all(out)?;
         out.clear();
-        if matches!(behaviour, Behaviour::Fatal(_) | Behaviour::Unready) {
+        let stays_open = [Behaviour::Unready, Behaviour::NoiseBehind].contains(&behaviour);
+        if stays_open || matches!(behaviour, Behaviour::Fatal(_) | Behaviour::Spoil(_)) {
             while more(stream, &mut Vec::new())? {}
         }
         Ok(whole && behaviour != Behaviour::CloseAfterAnswer)
--- a/crates/driver/tests/common/mod.rs
+++ b/crates/driver/tests/common/mod.rs
@@ -14,7 +14,7 @@
 pub use client::{read, write, Client};
 pub use discovery::Discovery;
 pub use driver::World;
-pub use member::{Behaviour, Member};
+pub use member::{Behaviour, Member, Spoil};
 
 /// Longest wait for anything: far beyond what is needed on a busy machine.
 pub const LIMIT: Duration = Duration::from_secs(30);
--- a/crates/driver/tests/parsers.rs
+++ b/crates/driver/tests/parsers.rs
@@ -279,3 +279,54 @@
         "a state that is not known binds like a drain"
     );
 }
+
+#[test]
+fn a_report_that_cannot_be_read_tells_nothing() {
+    use beaconshore_driver::member::report;
+    let good = report("x0=1767225600.123,x1=1,utilization=0.61,inflight=7").unwrap();
+    assert_eq!(good.position, Some(1_767_225_600_123_000));
+    assert_eq!((good.role, good.utilization), (Some(Role::Primary), Some(0.61)));
+    for junk in
+        ["", "nan", "=,=", "%%%", "x0=17e9,x1=1", "x0=1767225600.1,x1", "x0=1767225600.123,utilization=0.6.1"]
+    {
+        assert!(report(junk).is_none(), "{junk}");
+    }
+}
+
+#[test]
+fn what_is_wrong_within_a_members_message_is_found() {
+    let message = |kind: u8, content: &[u8]| {
+        let length = (content.len() as u32 + 4).to_be_bytes();
+        [&[kind][..], &length, content].concat()
+    };
+    let column = [&b"\0\x01payload\0"[..], &[0; 18]].concat();
+    assert_eq!(pg::backend(&message(b'T', &column)).unwrap().unwrap().0, Backend::RowDescription(1));
+    let row = [&b"\0\x01"[..], &3_u32.to_be_bytes(), b"abc"].concat();
+    assert_eq!(pg::backend(&message(b'D', &row)).unwrap().unwrap().0, Backend::DataRow(Some(b"abc")));
+    for (kind, content) in [
+        (b'T', &column[..column.len() - 1]),
+        (b'T', &[&column[..], b"x"].concat()),
+        (b'T', &[&b"\0\x02"[..], &column[2..]].concat()),
+        (b'D', &row[..row.len() - 1]),
+        (b'D', &[&row[..], b"d"].concat()),
+        (b'C', b"SELECT 1"),
+        (b'C', b"SELECT\0 1\0"),
+        (b'C', b"\0"),
+        (b'Z', b"?"),
+        (b'Z', b""),
+        (b'S', b"name\0value"),
+        (b'S', b"name\0value\0more"),
+        (b'E', b"C53300\0"),
+    ] {
+        assert_eq!(
+            pg::backend(&message(kind, content)),
+            Err(Broken::Content),
+            "{} {content:?}",
+            kind as char
+        );
+    }
+    // Lengths that won't go together are found before the value has come.
+    let mut early = message(b'D', &row);
+    early[5 + 2..5 + 6].copy_from_slice(&3_000_000_000_u32.to_be_bytes());
+    assert_eq!(pg::backend(&early[..11]), Err(Broken::Content));
+}
--- a/crates/driver/tests/serving.rs
+++ b/crates/driver/tests/serving.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
+use std::time::{Duration, Instant};
+
 use common::member::value_of;
-use common::{eventually, read, write, Behaviour, World};
+use common::{eventually, read, write, Behaviour, Spoil, World};
 
 /// The `d` that a member was given.
 fn wait_of(query: &str) -> u64 {
@@ -45,7 +47,7 @@
 #[test]
 fn a_lagging_follower_gets_no_reads() {
     let world = World::start();
-    world.follower.set(|s| s.lag = std::time::Duration::from_secs(5));
+    world.follower.set(|s| s.lag = Duration::from_secs(5));
     let mut client = world.client();
     // What it told before counts until it is over its bound.
     eventually("reads go to the leader", || {
@@ -112,7 +114,7 @@
         let text = read(2000);
         assert_eq!(client.ask(&text).values, [value_of(&text)]);
         eventually("the connections used are closed", || balance() == before);
-        std::thread::sleep(std::time::Duration::from_millis(10));
+        std::thread::sleep(Duration::from_millis(10));
     }
     world.driver.signal("TERM");
     assert!(world.driver.ended().success());
@@ -232,9 +234,64 @@
 }
 
 #[test]
-fn a_whole_value_is_served_at_the_latest_when_its_time_is_over() {
+fn a_whole_value_is_served_though_the_last_message_stays_away() {
     let world = World::start();
     world.leader.behave(Behaviour::Unready);
-    let text = write(500);
+    let (text, asked) = (write(20_000), Instant::now());
     assert_eq!(world.client().ask(&text).values, [value_of(&text)]);
+    assert!(asked.elapsed() < Duration::from_secs(5), "it is not kept back");
+}
+
+/// Each member spoils what it is asked, one after the other: a repeat at the other serves, long before its time is over,
+/// and nothing of a spoilt answer reaches the client.
+#[test]
+fn a_spoilt_answer_is_a_failed_attempt_that_may_be_repeated_at_once() {
+    for spoil in Spoil::all() {
+        let world = World::start();
+        world.follower.behave(Behaviour::Spoil(spoil));
+        let (mut client, before) = (world.client(), world.follower.queries().len());
+        for _ in 0..3 {
+            let (text, asked) = (read(20_000), Instant::now());
+            assert_eq!(client.ask(&text).values, [value_of(&text)], "{spoil:?}");
+            assert!(asked.elapsed() < Duration::from_secs(5), "{spoil:?}");
+        }
+        assert!(world.follower.queries().len() > before, "{spoil:?}");
+        // A write may have run, so it is never refused; its key allows a repeat, which is spoilt as well.
+        world.leader.behave(Behaviour::Spoil(spoil));
+        let answer = client.ask(&write(300));
+        assert!(!["53300", "57P03"].contains(&answer.code.as_deref().unwrap()), "{spoil:?}: {answer:?}");
+        assert_eq!(answer.kinds, "EZ", "{spoil:?}");
+    }
+}
+
+/// Spoilt answers come from members that are well: a group whose members all send some keeps serving.
+#[test]
+fn members_that_spoil_answers_are_not_left_out() {
+    let world = World::start();
+    let mut client = world.client();
+    world.members().iter().for_each(|m| m.behave(Behaviour::Spoil(Spoil::Noise)));
+    for _ in 0..10 {
+        client.ask(&read(100));
+    }
+    world.members().iter().for_each(|m| m.behave(Behaviour::Serve));
+    assert!(client.ask(&read(2000)).is_served());
+    let before = world.follower.queries().len();
+    for _ in 0..10 {
+        assert!(client.ask(&read(2000)).is_served());
+    }
+    assert!(world.follower.queries().len() > before, "the follower is still in use");
+}
+
+#[test]
+fn a_good_answer_stays_good_when_more_follows_it() {
+    for behaviour in [Behaviour::Twice, Behaviour::NoiseBehind] {
+        let world = World::start();
+        world.members().iter().for_each(|m| m.behave(behaviour));
+        let mut client = world.client();
+        for text in [read(20_000), write(20_000), read(20_000), write(20_000)] {
+            let asked = Instant::now();
+            assert_eq!(client.ask(&text).values, [value_of(&text)], "{behaviour:?}");
+            assert!(asked.elapsed() < Duration::from_secs(5), "{behaviour:?}");
+        }
+    }
 }
