Requests of one connection run side by side and are answered in order

Cause: client.rs took one request at a time, so each waited for all before it before it was even sent (through a node: median 0.13 s to the first attempt) and had little of its time left. Now a connection has up to 64 open at once and a queue of what it owes.

--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -2,6 +2,7 @@
 //! notices when its client has gone.
 
 use std::cell::Cell;
+use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::{Shutdown, TcpStream};
@@ -33,6 +34,10 @@
 const SPARED: Duration = Duration::from_millis(100);
 /// Messages in a row that are no requests end a connection.
 const MAX_USELESS: u32 = 16;
+/// Requests of one connection that may be open at once; further ones wait to be read.
+const MAX_OPEN: usize = 64;
+/// Messages that are looked at in a row before others get their turn.
+const TURN: usize = 16;
 /// After an error that ends its connection, a client has so long to read it, and so much that it still sends is
 /// taken: closing over unread input may destroy what it was told.
 const LINGER: Duration = Duration::from_millis(500);
@@ -83,27 +88,28 @@
     pub fn welcome(self: &Rc<Self>, stream: Async<TcpStream>, place: Permit) {
         self.node.stats.count(Counter::Accepted);
         let _ = stream.get_ref().set_nodelay(true);
-        // It gets at most one answer, and one wish to close for each time that it was idle.
+        // It gets one answer for each of its open requests, and one wish to close for each time that it was idle.
         let (sender, mailbox) = async_channel::unbounded();
         let (clients, buffer) = (self.clone(), Buffer::default());
-        let (read_at, answered_at, useless, since) = (0, 0, 0, Instant::now());
-        let state = State::New;
         let mut connection = Connection {
             clients,
             stream,
             buffer,
-            read_at,
-            answered_at,
+            read_at: 0,
             sender,
             mailbox,
-            state,
-            since,
-            useless,
+            state: State::New,
+            since: Instant::now(),
+            useless: 0,
+            skipping: false,
+            queue: VecDeque::new(),
+            end: None,
         };
         self.node.spawn(async move {
             if let Err(end) = connection.serve().await {
                 debug!("a client's connection ended: {end}");
             }
+            connection.abandon();
             drop(place);
         });
     }
@@ -141,8 +147,6 @@
     buffer: Buffer,
     /// When the newest bytes came, at the earliest.
     read_at: Micros,
-    /// When the last answer was written: only then does a request that came before it begin to wait.
-    answered_at: Micros,
     sender: Sender<ClientMail>,
     mailbox: Receiver<ClientMail>,
     state: State,
@@ -150,57 +154,115 @@
     since: Instant,
     /// Messages in a row that were no requests.
     useless: u32,
+    /// After an error in the extended protocol, all is passed over up to the next Sync.
+    skipping: bool,
+    /// What is owed, in the order of the messages that asked for it.
+    queue: VecDeque<Due>,
+    /// How the connection ends once nothing is owed any more.
+    end: Option<End>,
+}
+
+/// An answer that is owed.
+enum Due {
+    /// To a request that is open.
+    Open { id: RequestId, name: Rc<[u8]>, _large: Option<Share> },
+    /// Ready to be written.
+    Ready { bytes: Vec<u8>, _large: Option<Share> },
+}
+
+/// How a connection ends.
+enum End {
+    /// Its client said so.
+    Left,
+    /// With an error: its code and text.
+    Fatal(&'static str, String),
 }
 
 impl Connection {
     async fn serve(&mut self) -> io::Result<()> {
+        if !self.open().await? {
+            return Ok(());
+        }
+        loop {
+            let stopped = self.look();
+            self.write_answers().await?;
+            match (&self.end, self.queue.is_empty()) {
+                (Some(End::Left), true) => return Ok(()),
+                (Some(End::Fatal(code, text)), true) => return self.give_up(code, &text.clone()).await,
+                // One that sends without end is not to hold up the others.
+                _ if stopped && self.queue.len() < MAX_OPEN => future::yield_now().await,
+                (_, true) => {
+                    if !self.more(pg::length(self.buffer.filled())).await? {
+                        return Ok(());
+                    }
+                }
+                (_, false) => {
+                    if !self.attend().await? {
+                        return Ok(());
+                    }
+                }
+            }
+        }
+    }
+
+    /// The way to a client's welcome; false if the connection is to end.
+    async fn open(&mut self) -> io::Result<bool> {
         loop {
             match pg::opening(self.buffer.filled()) {
                 Ok(None) => {
                     if !self.more(pg::opening_length(self.buffer.filled())).await? {
-                        return Ok(());
+                        return Ok(false);
                     }
                 }
                 Ok(Some((opening, length))) => {
                     drop(self.buffer.consume(length));
                     match opening {
-                        Opening::Encryption => {
-                            self.note_useless()?;
+                        Opening::Encryption if self.note_useless() => {
                             self.write(&[pg::NO_ENCRYPTION]).await?;
                         }
-                        Opening::Cancel => return Ok(()),
+                        Opening::Encryption | Opening::Cancel => return Ok(false),
                         Opening::Startup => break,
                     }
                 }
-                Err(broken) => return self.give_up(broken.sqlstate(), &broken.to_string()).await,
+                Err(broken) => {
+                    return self.give_up(broken.sqlstate(), &broken.to_string()).await.map(|()| false);
+                }
             }
         }
         let mut out = Vec::new();
         pg::put_welcome(&mut out);
-        self.write(&out).await?;
-        // After an error in the extended protocol, all is passed over up to the next Sync.
-        let mut skipping = false;
-        loop {
+        self.write(&out).await.map(|()| true)
+    }
+
+    /// Looks at the messages at hand, as many as may be open or a turn allows; tells whether that stopped it.
+    fn look(&mut self) -> bool {
+        for _ in 0..TURN {
+            if self.end.is_some() {
+                return false;
+            }
+            if self.queue.len() >= MAX_OPEN {
+                return true;
+            }
             let (message, length) = match pg::frontend(self.buffer.filled()) {
                 Ok(Some(parsed)) => parsed,
-                Ok(None) => match self.more(pg::length(self.buffer.filled())).await? {
-                    true => continue,
-                    false => return Ok(()),
-                },
-                Err(broken) => return self.give_up(broken.sqlstate(), &broken.to_string()).await,
+                Ok(None) => return false,
+                Err(broken) => {
+                    self.end = Some(End::Fatal(broken.sqlstate(), broken.to_string()));
+                    return false;
+                }
             };
-            out.clear();
+            let mut out = Vec::new();
             let mut is_of_use = false;
             match message {
-                Frontend::Terminate => return Ok(()),
+                Frontend::Terminate => self.end = Some(End::Left),
                 Frontend::Ignored => {}
                 Frontend::Sync => {
-                    skipping = false;
+                    self.skipping = false;
                     pg::put_ready(&mut out);
                 }
-                Frontend::Extended if skipping => {}
+                Frontend::Extended if self.skipping => {}
                 Frontend::Extended => {
-                    skipping = true;
+                    self.skipping = true;
                     let code = sqlstate::FEATURE_NOT_SUPPORTED;
                     pg::put_error(&mut out, Severity::Error, code, "only simple queries are taken", None);
                 }
@@ -213,11 +275,13 @@
                     Ok(arrival) => {
                         // A large one keeps its place until it is answered.
                         let large = self.buffer.consume(length);
-                        self.note_use();
-                        if !self.request(arrival).await? {
-                            return Ok(());
-                        }
-                        drop(large);
+                        self.queue.push_back(Due::Open {
+                            id: arrival.id,
+                            name: arrival.name.clone(),
+                            _large: large,
+                        });
+                        self.clients.node.stats.count(Counter::Requests);
+                        self.clients.module.send(Mail::Request(Box::new(arrival)));
                         self.note_use();
                         continue;
                     }
@@ -230,19 +294,26 @@
             }
             drop(self.buffer.consume(length));
             if !out.is_empty() {
-                self.write(&out).await?;
+                self.queue.push_back(Due::Ready { bytes: out, _large: None });
             }
-            match is_of_use {
-                true => self.note_use(),
-                false if self.note_useless().is_err() => {
-                    let text = "too many messages in a row were no requests";
-                    return self.give_up(sqlstate::PROTOCOL_VIOLATION, text).await;
-                }
-                false => {}
+            if is_of_use {
+                self.note_use();
+            } else if !self.note_useless() && self.end.is_none() {
+                let text = "too many messages in a row were no requests";
+                self.end = Some(End::Fatal(sqlstate::PROTOCOL_VIOLATION, text.into()));
             }
-            // One that sends without end is not to hold up the others.
-            future::yield_now().await;
         }
+        true
+    }
+
+    /// Writes the answers that are ready, in the order of what they answer.
+    async fn write_answers(&mut self) -> io::Result<()> {
+        while let Some(Due::Ready { .. }) = self.queue.front() {
+            let Some(Due::Ready { bytes, _large }) = self.queue.pop_front() else { break };
+            self.write(&bytes).await?;
+            self.since = Instant::now();
+        }
+        Ok(())
     }
 
     /// Notes a request, or its answer: what comes next begins now.
@@ -250,17 +321,13 @@
         (self.state, self.since, self.useless) = (State::Used, Instant::now(), 0);
     }
 
-    /// Notes a message that was no request; an error if there were too many.
-    fn note_useless(&mut self) -> io::Result<()> {
+    /// Notes a message that was no request; false if there were too many.
+    fn note_useless(&mut self) -> bool {
         self.useless += 1;
         if self.state == State::Used {
             self.since = Instant::now();
         }
-        if self.useless < MAX_USELESS {
-            Ok(())
-        } else {
-            Err(io::ErrorKind::InvalidData.into())
-        }
+        self.useless < MAX_USELESS
     }
 
     /// A request as the module takes it: its statement is copied, since it outlives the buffer.
@@ -275,13 +342,14 @@
         }
         let in_session = matches!(facts.consistency, Consistency::Write | Consistency::Session);
         let name: Rc<[u8]> = text.id.as_bytes().into();
-        if !node.ids.take(&name, node.clock.now()) {
+        let now = node.clock.now();
+        if !node.ids.take(&name, now) {
             return Err((sqlstate::DUPLICATE_OBJECT, "another request has this id"));
         }
         let id = node.requests.get() + 1;
         node.requests.set(id);
-        // One that came behind others begins to wait when it is its turn.
-        let from = self.read_at.max(self.answered_at);
+        // One that had to wait until others were answered begins to wait now.
+        let from = if self.queue.len() + 1 < MAX_OPEN { self.read_at } else { now };
         // No client waits longer than its class does over all its tries.
         let wait = (u64::from(text.wait_ms) * 1000).min(facts.deadline);
         Ok(Arrival {
@@ -298,48 +366,50 @@
         })
     }
 
-    /// Has a request answered; false if the connection is to end.
-    async fn request(&mut self, arrival: Arrival) -> io::Result<bool> {
-        let clients = self.clients.clone();
-        let (node, id, name) = (&clients.node, arrival.id, arrival.name.clone());
-        node.stats.count(Counter::Requests);
-        clients.module.send(Mail::Request(Box::new(arrival)));
-        let answer = self.answer(id).await;
-        node.ids.release(name, node.clock.now());
-        let Some(answer) = answer? else { return Ok(false) };
-        let (mut out, mut _large) = (Vec::new(), None);
+    /// Waits while requests are open; false if the connection is to end.
+    async fn attend(&mut self) -> io::Result<bool> {
+        // Of input that can't be looked at yet, only a little is read.
+        let reads = self.end.is_none() && (self.queue.len() < MAX_OPEN || self.buffer.has_room());
+        match self.wake(pg::length(self.buffer.filled()), reads).await {
+            Wake::Mail(ClientMail::Answer(id, answer)) => self.answered(id, answer),
+            Wake::Mail(ClientMail::Close) | Wake::Input(Ok(1..)) => {}
+            Wake::Input(end) => return end.map(|_| false),
+        }
+        Ok(true)
+    }
+
+    /// Notes the answer of an open request; it is written once all before it are.
+    fn answered(&mut self, of: RequestId, answer: Answer) {
+        let node = &self.clients.node;
+        let due = self.queue.iter_mut().find(|due| matches!(due, Due::Open { id, .. } if *id == of));
+        node.stats.check(due.is_some(), "an answer reaches the request that it is for");
+        let Some(due) = due else { return };
+        let (mut bytes, mut large) = (Vec::new(), None);
         match answer {
-            Answer::Served(served) => (out, _large) = (served.messages, served.large),
+            Answer::Served(served) => (bytes, large) = (served.messages, served.large),
             Answer::Refused(pause) => {
                 let detail = (pause > 0).then(|| pause.div_ceil(1000).to_string());
                 let (code, text) = (sqlstate::TOO_MANY_CONNECTIONS, "refused; trying again is harmless");
-                pg::put_error(&mut out, Severity::Error, code, text, detail.as_deref());
+                pg::put_error(&mut bytes, Severity::Error, code, text, detail.as_deref());
             }
             Answer::Failed => {
                 let (code, text) = (sqlstate::COMPLETION_UNKNOWN, "failed; the statement may have run");
-                pg::put_error(&mut out, Severity::Error, code, text, None);
+                pg::put_error(&mut bytes, Severity::Error, code, text, None);
             }
         }
-        pg::put_ready(&mut out);
-        self.write(&out).await?;
-        self.answered_at = node.clock.now();
-        Ok(true)
+        pg::put_ready(&mut bytes);
+        if let Due::Open { name, .. } = std::mem::replace(due, Due::Ready { bytes, _large: large }) {
+            node.ids.release(name, node.clock.now());
+        }
     }
 
-    /// Waits for a request's answer; none if its client has gone.
-    async fn answer(&mut self, id: RequestId) -> io::Result<Option<Answer>> {
-        loop {
-            // Of input that can't be looked at yet, only a little is read.
-            match self.wake(0, self.buffer.has_room()).await {
-                Wake::Mail(ClientMail::Answer(of, answer)) => {
-                    self.clients.node.stats.check(of == id, "an answer reaches the request that it is for");
-                    return Ok(Some(answer));
-                }
-                Wake::Mail(ClientMail::Close) | Wake::Input(Ok(1..)) => {}
-                Wake::Input(end) => {
-                    self.clients.module.send(Mail::HungUp(id));
-                    return end.map(|_| None);
-                }
+    /// Ends what is still open: its client is gone.
+    fn abandon(&mut self) {
+        let node = &self.clients.node;
+        for due in self.queue.drain(..) {
+            if let Due::Open { id, name, .. } = due {
+                self.clients.module.send(Mail::HungUp(id));
+                node.ids.release(name, node.clock.now());
             }
         }
     }
@@ -351,13 +421,6 @@
         let has_begun = !self.buffer.filled().is_empty();
         let at_work = has_begun || self.state == State::New;
         let deadline = self.since + if at_work { MESSAGE_WAIT } else { IDLE_WAIT };
-        if self.buffer.lacks_room(length) {
-            let large = clients.node.budget.requests.acquire_arc();
-            match until(deadline, large).await {
-                Some(large) => self.buffer.grant(large),
-                None => return self.stalled().await,
-            }
-        }
         if at_work {
             match until(self.since + SPARED, self.wake(length, true)).await {
                 Some(Wake::Input(read)) => return Ok(read? > 0),
@@ -426,6 +489,9 @@
                     return Wake::Input(Err(e));
                 }
             }
+            if self.buffer.lacks_room(length) {
+                self.buffer.grant(self.clients.node.budget.requests.acquire_arc().await);
+            }
             Wake::Input(self.buffer.fill(length, &mut self.stream).await)
         };
         let wake = future::or(mail, input).await;
--- a/crates/driver/tests/serving.rs
+++ b/crates/driver/tests/serving.rs
@@ -75,6 +75,37 @@
     }
 }
 
+/// One that is slow holds up the answers behind it, not the requests themselves.
+#[test]
+fn requests_of_one_connection_run_side_by_side_and_are_answered_in_order() {
+    let world = World::start();
+    let mut client = world.client();
+    world.follower.set(|s| s.pause = Duration::from_millis(500));
+    let (before, texts) = (world.queries(), [read(5000), read(5000), write(5000)]);
+    let bytes: Vec<u8> = texts.iter().flat_map(|t| common::client::query(t)).collect();
+    client.send(&bytes);
+    eventually("all are under way", || world.queries() == before + 3);
+    client.stream.set_nonblocking(true).unwrap();
+    assert!(client.stream.peek(&mut [0]).is_err(), "before the first is answered");
+    client.stream.set_nonblocking(false).unwrap();
+    for text in &texts {
+        assert_eq!(client.answer().unwrap().values, [value_of(text)]);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_has_all_its_attempts_ended() {
+    let world = World::start();
+    let mut client = world.client();
+    world.members().iter().for_each(|m| m.behave(Behaviour::Silent));
+    let before = world.queries();
+    let texts = [read(60_000), write(60_000)];
+    client.send(&texts.iter().flat_map(|t| common::client::query(t)).collect::<Vec<u8>>());
+    eventually("both are under way", || world.queries() == before + 2);
+    drop(client);
+    eventually("they are off the wire", || world.members().iter().all(|m| m.set(|s| s.holds) == 0));
+}
+
 #[test]
 fn a_request_may_come_with_the_startup() {
     let world = World::start();
