Attempts lost by a connection are told from silent members, and repeated; the gone are forgotten

A trace of what was given up and why showed members with one lost attempt at a limit of one or taken for silent though others had answered 17 ms before, writes that waited 5 s on a dead connection, and a silent primary tested by lot only, which few writes make slow (up to 5.7 s). Of lost attempts, idle time and use of their connection told nothing (205 compared), so no connection can be avoided beforehand. Lines at fault: rules.rs on_answer (one time-out made a member silent, any strained it), is_good (one overdue attempt), choose (writes had no test by time); member.rs MESSAGE_GAP (0.5 s for half a message, now 50 ms, told as an answer that can't be read). Members off the list leave the tables of module and driver (Action::Forget), as do groups that only requests named. xorshift moved to random.rs, table sizes to sizes.rs. Tests: six in tests/troubles.rs.

--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -305,9 +305,9 @@
     let driver_bytes = driver.to_le_bytes();
     let micros = |us: u64| u32::try_from(us).unwrap_or(u32::MAX).to_le_bytes();
     match action {
-        Action::Send { request, member } => reply.record(
+        Action::Send { request, member, wait } => reply.record(
             code::DISPATCH,
-            &[&driver_bytes, &request.0.to_le_bytes(), &member.0.to_le_bytes(), &micros(0)],
+            &[&driver_bytes, &request.0.to_le_bytes(), &member.0.to_le_bytes(), &micros(*wait)],
         ),
         Action::Refuse { request, retry_after } => {
             reply.record(code::BUSY, &[&driver_bytes, &request.0.to_le_bytes(), &micros(*retry_after)]);
@@ -328,6 +328,8 @@
         Action::SetTimer(after) => {
             reply.record(code::SCHEDULE, &[&driver_bytes, &micros(*after), &0u32.to_le_bytes()]);
         }
+        // There, members stay known.
+        Action::Forget(_) => {}
         Action::Subscribe => reply.record(code::FOLLOW, &[&driver_bytes, &[1]]),
         Action::Log(text) => text_record(reply, code::PRINT, driver, text),
     }
--- a/crates/driver/src/member.rs
+++ b/crates/driver/src/member.rs
@@ -29,7 +29,7 @@
 /// Once its value is whole, the rest of an answer has so long to come.
 const READY_WAIT: Duration = Duration::from_millis(100);
 /// A message that has begun goes on within this: members send an answer at once.
-const MESSAGE_GAP: Duration = Duration::from_millis(500);
+const MESSAGE_GAP: Duration = Duration::from_millis(50);
 
 const PROBE_REPORT: &[u8] = b"SHOW server_load";
 const PROBE_ALIVE: &[u8] = b"SELECT 1";
@@ -44,6 +44,8 @@
     Probe,
     /// It listens here now.
     Address(SocketAddr),
+    /// Its member left for good: close all, and end.
+    End,
     /// Close the connections that carry nothing.
     CloseIdle,
     /// Close the one that is idle for the longest.
@@ -227,7 +229,7 @@
             };
             match mail {
                 None => {}
-                Some(Err(_)) => return,
+                Some(Err(_) | Ok(MemberMail::End)) => return,
                 Some(Ok(MemberMail::Attempt(attempt))) => self.attempt(attempt),
                 Some(Ok(MemberMail::Cancel(request))) => self.cancel(request).await,
                 Some(Ok(MemberMail::Probe)) => self.probe(),
@@ -504,7 +506,10 @@
             };
             let fill = self.fill(length);
             let count = match limit {
-                Some(limit) => within(limit, fill).await.unwrap_or(Ok(0)),
+                Some(limit) => match within(limit, fill).await {
+                    Some(count) => count,
+                    None => return reply.spoil(row),
+                },
                 None => fill.await,
             };
             // With all but the last message there, what has come is the outcome.
--- a/crates/driver/src/module.rs
+++ b/crates/driver/src/module.rs
@@ -132,6 +132,8 @@
 }
 
 struct Known {
+    /// What the list calls it.
+    name: Rc<str>,
     /// What drivers call it among each other.
     tag: u32,
     address: SocketAddr,
@@ -149,9 +151,11 @@
     handle: ModuleHandle,
     peers: Option<Sender<Vec<PeerWord>>>,
     open: HashMap<RequestId, Open>,
-    /// Members by their ids here, in the order in which they were first listed.
-    members: Vec<Known>,
-    ids: HashMap<String, MemberId>,
+    /// Members by their ids here, until the decision module forgets them.
+    members: HashMap<MemberId, Known>,
+    ids: HashMap<Rc<str>, MemberId>,
+    /// How many members were ever listed: no id is given twice.
+    listed: u32,
     due: Option<Instant>,
     swept: Micros,
 }
@@ -164,10 +168,23 @@
         let (word_sender, words) = async_channel::bounded(DATAGRAMS);
         let handle = ModuleHandle { mail: mail_sender, lists: list_sender, words: word_sender };
         let router = Router::new(node.site.settings.clone(), config.seed, node.clock.now());
-        let (open, members, ids, due, swept) = Default::default();
+        let (open, members, ids, listed, due, swept) = Default::default();
         let (peers, given) = (peers.map(Peers::mailbox), handle.clone());
-        let module =
-            Module { node, router, mail, lists, words, handle, peers, open, members, ids, due, swept };
+        let module = Module {
+            node,
+            router,
+            mail,
+            lists,
+            words,
+            handle,
+            peers,
+            open,
+            members,
+            ids,
+            listed,
+            due,
+            swept,
+        };
         (module, given)
     }
 
@@ -242,23 +259,28 @@
 
     fn on_list(&mut self, kind: ListKind, listing: Listing) {
         self.node.stats.count(Counter::Lists);
-        let entries: Vec<Entry> = listing.instances.into_iter().map(|i| self.entry(i)).collect();
+        // What is gone and not known tells nothing.
+        let says =
+            |i: &Instance| i.lifecycle != Lifecycle::Gone || self.ids.contains_key(i.instance_id.as_str());
+        let instances: Vec<Instance> = listing.instances.into_iter().filter(says).collect();
+        let entries: Vec<Entry> = instances.into_iter().map(|i| self.entry(i)).collect();
         self.handle(&Event::List(kind, &entries));
     }
 
     fn entry(&mut self, instance: Instance) -> Entry {
         let address = instance.host_port;
-        let member = match self.ids.get(&instance.instance_id) {
+        let member = match self.ids.get(instance.instance_id.as_str()) {
             Some(&id) => id,
             None => {
-                let id = MemberId(self.members.len() as u32);
-                self.members.push(Known { tag: peers::tag(&instance.instance_id), address, actor: None });
-                self.ids.insert(instance.instance_id, id);
+                let (id, name) = (MemberId(self.listed), Rc::<str>::from(instance.instance_id));
+                self.listed += 1;
+                let tag = peers::tag(&name);
+                self.members.insert(id, Known { name: name.clone(), tag, address, actor: None });
+                self.ids.insert(name, id);
                 id
             }
         };
-        let known = &mut self.members[member.0 as usize];
-        if known.address != address {
+        if let Some(known) = self.members.get_mut(&member).filter(|known| known.address != address) {
             known.address = address;
             known.actor.iter().for_each(|actor| drop(actor.try_send(MemberMail::Address(address))));
         }
@@ -332,9 +354,9 @@
 
     /// What a peer said, if it is plain of which member.
     fn word(&self, word: &PeerWord) -> Option<Word> {
-        let mut named = self.members.iter().enumerate().filter(|(_, m)| m.tag == word.tag);
-        let (index, _) = named.next().filter(|_| named.next().is_none())?;
-        Some(Word { member: MemberId(index as u32), position: word.position, role: word.role })
+        let mut named = self.members.iter().filter(|(_, m)| m.tag == word.tag);
+        let (&member, _) = named.next().filter(|_| named.next().is_none())?;
+        Some(Word { member, position: word.position, role: word.role })
     }
 
     // ---- Actions to messages ----
@@ -351,11 +373,12 @@
 
     fn perform(&mut self, now: Micros, action: Action) {
         match action {
-            Action::Send { request, member } => self.send(now, request, member),
+            Action::Send { request, member, wait } => self.send(now, request, member, wait),
             Action::Refuse { request, retry_after } => self.answer(request, Answer::Refused(retry_after)),
             Action::Fail(request) => self.answer(request, Answer::Failed),
             Action::CloseIdle(member) => self.mail_member(member, MemberMail::CloseIdle),
             Action::Probe(member) => self.mail_member(member, MemberMail::Probe),
+            Action::Forget(member) => self.forget(member),
             Action::Tell(words) => self.tell(&words),
             Action::SetTimer(after) => {
                 self.due = Some(self.node.clock.instant(now + after));
@@ -367,13 +390,14 @@
         }
     }
 
-    fn send(&mut self, now: Micros, request: RequestId, member: MemberId) {
+    fn send(&mut self, now: Micros, request: RequestId, member: MemberId, wait: Micros) {
         let Some(open) = self.open.get_mut(&request) else {
             return self.node.stats.check(false, "what is sent is open");
         };
         self.node.stats.check(open.out.is_none(), "a request has one attempt out");
         open.out = Some(member);
-        let attempt = Attempt { request, statement: open.statement.clone(), ends: open.ends, sent: now };
+        let ends = if wait == 0 { open.ends } else { open.ends.min(now + wait) };
+        let attempt = Attempt { request, statement: open.statement.clone(), ends, sent: now };
         self.mail_member(member, MemberMail::Attempt(attempt));
     }
 
@@ -391,16 +415,23 @@
     }
 
     fn mail_member(&mut self, member: MemberId, mail: MemberMail) {
-        let Some(known) = self.members.get_mut(member.0 as usize) else {
-            return self.node.stats.check(false, "a member that gets mail was listed");
+        let Some(known) = self.members.get_mut(&member) else {
+            return self.node.stats.check(false, "a member that gets mail is known");
         };
         let start = || Member::start(&self.node, &self.handle, member, known.address);
         let _ = known.actor.get_or_insert_with(start).try_send(mail);
     }
 
+    /// Gives back all that belongs to a member that left for good.
+    fn forget(&mut self, member: MemberId) {
+        let Some(known) = self.members.remove(&member) else { return };
+        self.ids.remove(&known.name);
+        known.actor.iter().for_each(|actor| drop(actor.try_send(MemberMail::End)));
+    }
+
     fn tell(&mut self, words: &[Word]) {
         let Some(peers) = &self.peers else { return };
-        let named = words.iter().filter_map(|w| Some((w, self.members.get(w.member.0 as usize)?)));
+        let named = words.iter().filter_map(|w| Some((w, self.members.get(&w.member)?)));
         let words = named.map(|(w, known)| PeerWord { tag: known.tag, position: w.position, role: w.role });
         if peers.try_send(words.collect()).is_err() {
             self.node.stats.count(Counter::Dropped);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -90,34 +90,37 @@
 }
 
 /// How membership lists come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Discovery {
     /// Unasked.
+    #[default]
     Pushed,
     /// To those who ask.
     OnRequest,
 }
 
 /// Who knows what a session has written.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum SessionMarks {
     /// The client says so with each read.
+    #[default]
     Client,
     /// This router remembers the writes whose answers it saw.
     Router,
 }
 
 /// Who sees to it that a member does not answer a read from data that is too old for it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LagCheck {
     /// The router alone, by what it knows of positions.
+    #[default]
     Router,
     /// The member too: it turns such a read away untouched.
     Member,
 }
 
 /// What the site permits.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Limits {
     /// Attempts for each request.
     pub max_attempts: u32,
@@ -132,7 +135,7 @@
 }
 
 /// The figures of the rules.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct RuleFigures {
     /// Unsubscribed and silent for this long, a router counts as told of all that was listed.
     pub ask_within: Micros,
@@ -149,7 +152,7 @@
 }
 
 /// All that a router is told at start.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// The zone in which this router runs.
     pub zone: ZoneId,
@@ -351,12 +354,14 @@
 /// What a router wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Send a request to a member; the attempt lasts until the client gives up.
+    /// Send a request to a member.
     Send {
         /// Which request.
         request: RequestId,
         /// Where to.
         member: MemberId,
+        /// How long the attempt may last (0: until the client gives up).
+        wait: Micros,
     },
     /// Final answer: refused; trying again is harmless, best after the pause (0: no advice).
     Refuse {
@@ -371,6 +376,8 @@
     CloseIdle(MemberId),
     /// Probe a member.
     Probe(MemberId),
+    /// Nothing refers to a member any more: what belongs to it can go. Should it be listed again, it is a new one.
+    Forget(MemberId),
     /// Tell all other routers what members said.
     Tell(Vec<Word>),
     /// Wake the router after this time.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 //! reads a clock, opens a socket or starts a thread: time comes in with the events, actions go out.
 
 pub mod interface;
+mod random;
 pub mod rules;
+pub mod sizes;
 
 pub use rules::Router;
--- /dev/null
+++ b/src/random.rs
@@ -0,0 +1,43 @@
+//! Numbers that look random, from a seed: no decision, only their source.
+
+/// A source of numbers (xorshift).
+#[derive(Clone, Debug, Default)]
+pub struct Random(u64);
+
+impl Random {
+    /// The same seed gives the same numbers.
+    pub fn new(seed: u64) -> Self {
+        Random(seed | 1)
+    }
+
+    /// A number under `below`.
+    pub fn draw(&mut self, below: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % below.max(1)
+    }
+}
+
+/// A number from 0 to 1 that goes with another one, whenever it is asked for.
+pub fn share_of(number: u64) -> f64 {
+    (number.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 11) as f64 / (1u64 << 53) as f64
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn numbers_are_spread_evenly_and_repeat_with_their_seed() {
+        let (mut one, mut other) = (Random::new(7), Random::new(7));
+        let drawn: Vec<u64> = (0..10_000).map(|_| one.draw(10)).collect();
+        assert!(drawn.iter().all(|&n| n == other.draw(10)));
+        for number in 0..10 {
+            let count = drawn.iter().filter(|&&n| n == number).count();
+            assert!((850..1150).contains(&count), "{number}: {count}");
+        }
+        let low = (0..10_000).filter(|&n| share_of(one.draw(u64::MAX) ^ n) < 0.3).count();
+        assert!((2_800..3_200).contains(&low), "{low}");
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::*;
+use crate::random::{share_of, Random};
 
 /// Pause between rounds of due work, in steps: short against every aim, dear in no site's CPU share.
 const TICK_STEPS: u64 = 2;
@@ -19,6 +20,8 @@
 const NEWS: u64 = 2;
 /// Consecutive failures after which a member is dropped (the design's default).
 const DROP_FAILURES: u32 = 3;
+/// Overdue or unanswered attempts in a row that make a member silent; one may be its connection's fault.
+const SILENT: u32 = 2;
 /// Share of a member's limit on open attempts that reads may take at a primary; the rest is for writes.
 const READ_SHARE: f64 = 0.6;
 /// Share of an aim, less three times the work, that waiting may take on average.
@@ -53,52 +56,43 @@
 }
 
 #[derive(Default)]
-struct Member {
+pub(crate) struct Member {
     id: MemberId,
     group: GroupId,
     zone: ZoneId,
-    /// Drains or is gone: nothing new goes there.
-    barred: bool,
+    gone: bool,   // Off the list.
+    barred: bool, // Drains or is gone: nothing new goes there.
     started: Option<Micros>,
-    /// Position that it has certainly reached, and when that was learnt.
-    position: Micros,
+    position: Micros, // Position that it has certainly reached, and when that was learnt.
     heard: Micros,
-    /// Last time at which it said that it is no primary.
-    denied: Micros,
-    /// When routers last told each other of it.
-    shared: Micros,
+    denied: Micros, // Last time at which it said that it is no primary.
+    shared: Micros, // When routers last told each other of it.
     listed_primary: bool,
-    /// The last probe had no answer.
-    dark: bool,
-    /// Consecutive failures of probes and connections; any answer clears them.
-    failures: u32,
-    /// An attempt had no answer in time, nor has any since; only real work done clears this.
-    silent: bool,
+    dark: bool,      // The last probe had no answer.
+    failures: u32,   // Consecutive failures of probes and connections; any answer clears them.
+    unanswered: u32, // Attempts without an answer in time, nor any since; only real work done clears this.
     last_answer: Micros,
     last_sent: Micros,
     open: Vec<Open>,
-    /// Open attempts it may have from here, under one the share of requests; as of the last answer.
-    limit: f64,
+    limit: f64, // Open attempts it may have, under one the share of requests; as of the last answer.
     told_at: Micros,
     probe_sent: Micros,
     probe_out: bool,
-    /// Work sent from here, as it was at the last send; forgotten over the window of the cold rule.
-    load: f64,
+    load: f64, // Work sent there, as of the last send; forgotten over the window of the cold rule.
 }
 
 /// A group, with when a request last named it and those that wait.
 #[derive(Default)]
-struct Group {
+pub(crate) struct Group {
     members: BTreeSet<MemberId>,
-    /// The last known primary, and the time that the evidence speaks of.
-    primary: Option<(MemberId, Micros)>,
+    primary: Option<(MemberId, Micros)>, // The last known primary, and the time that the evidence speaks of.
     asked: Micros,
     line: Vec<RequestId>,
 }
 
 /// A request that awaits its final answer.
 #[derive(Default)]
-struct Held {
+pub(crate) struct Held {
     class: usize,
     group: GroupId,
     session: Option<SessionId>,
@@ -110,44 +104,37 @@
     spent: bool,
     /// Drawn once: what goes by share takes or leaves a request for good, however often it is looked at.
     lot: u64,
-    /// Position that a member must have reached to serve it (sessions).
-    floor: Micros,
-    /// When the attempt that is out was sent.
-    out: Option<Micros>,
+    floor: Micros,       // Position that a member must have reached to serve it (sessions).
+    out: Option<Micros>, // When the attempt that is out was sent.
     tried: Vec<MemberId>,
-    /// First send that may have run, and where.
-    risk: Option<(Micros, MemberId)>,
+    risk: Option<(Micros, MemberId)>, // First send that may have run, and where.
 }
 
 /// Observed service times of a class, in microseconds.
 struct Service {
     mean: f64,
-    /// Mean when nothing waits: the least that the mean has been, slowly forgotten.
-    base: f64,
-    /// The time that clients give most tries, and the lead that it has over others.
-    budget: Micros,
+    base: f64,      // Mean when nothing waits: the least that the mean has been, slowly forgotten.
+    budget: Micros, // The time that clients give most tries, and the lead that it has over others.
     votes: u32,
 }
 
 /// One instance of the decision module.
+#[derive(Default)]
 pub struct Router {
     settings: Settings,
     tick: Micros,
     bound: Micros,
-    random: u64,
+    random: Random,
     now: Micros,
-    members: BTreeMap<MemberId, Member>,
-    groups: BTreeMap<GroupId, Group>,
-    held: BTreeMap<RequestId, Held>,
+    pub(crate) members: BTreeMap<MemberId, Member>,
+    pub(crate) groups: BTreeMap<GroupId, Group>,
+    pub(crate) held: BTreeMap<RequestId, Held>,
     services: Vec<Service>,
-    /// Commits that sessions must see, where the router remembers them.
-    sessions: BTreeMap<SessionId, Micros>,
-    /// What is to be told to other routers.
-    news: Vec<Word>,
-    /// Share of attempts of late that got no connection.
-    refused: f64,
-    /// Groups that were asked of late or have a line.
-    busy: BTreeSet<GroupId>,
+    pub(crate) sessions: BTreeMap<SessionId, Micros>, // Commits that they must see, where it remembers.
+    news: Vec<Word>,                                  // What is to be told to other routers.
+    refused: f64,                                     // Share of attempts of late that got no connection.
+    lost: f64, // Share of attempts of late that had no answer, while their members answered others.
+    busy: BTreeSet<GroupId>, // Groups that were asked of late or have a line.
     resubscribe_at: Option<Micros>,
 }
 
@@ -155,22 +142,10 @@
     /// A router that knows nothing but its settings; the seed is its only randomness.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
         let bound = |c: &Class| if let Consistency::Bounded(b) = c.consistency { b } else { Micros::MAX };
-        Router {
-            bound: settings.classes.iter().map(bound).min().unwrap_or(Micros::MAX),
-            services: settings.classes.iter().map(|c| Service::new(c.aim as f64)).collect(),
-            tick: settings.step * TICK_STEPS,
-            settings,
-            random: seed | 1,
-            now,
-            members: BTreeMap::new(),
-            groups: BTreeMap::new(),
-            held: BTreeMap::new(),
-            sessions: BTreeMap::new(),
-            news: Vec::new(),
-            refused: 0.0,
-            busy: BTreeSet::new(),
-            resubscribe_at: None,
-        }
+        let bound = settings.classes.iter().map(bound).min().unwrap_or(Micros::MAX);
+        let services = settings.classes.iter().map(|c| Service::new(c.aim as f64)).collect();
+        let (tick, random) = (settings.step * TICK_STEPS, Random::new(seed));
+        Router { settings, tick, bound, random, now, services, ..Router::default() }
     }
 
     /// Takes one event and adds what is to be done about it.
@@ -192,14 +167,15 @@
     fn on_list(&mut self, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
             // Anywhere within a quarter of the time allowed: a whole fleet may have failed at once.
-            self.resubscribe_at = Some(self.now + self.draw(self.settings.rules.ask_within / 4));
+            self.resubscribe_at = Some(self.now + self.random.draw(self.settings.rules.ask_within / 4));
             return;
         }
         self.resubscribe_at = None;
         if kind != ListKind::Delta {
             let binds = !self.settings.rules.only_draining_binds;
-            let listed = |m: &Member| entries.iter().any(|e| e.member == m.id);
-            self.members.values_mut().for_each(|m| m.barred |= binds && !listed(m));
+            let listed: BTreeSet<MemberId> = entries.iter().map(|e| e.member).collect();
+            let missing = self.members.values_mut().filter(|m| !listed.contains(&m.id));
+            missing.for_each(|m| (m.gone, m.barred) = (true, m.barred || binds));
         }
         entries.iter().for_each(|entry| self.on_entry(entry));
         if kind == ListKind::Cached {
@@ -216,6 +192,7 @@
         let m = self.members.entry(entry.member).or_insert(new);
         let claims = entry.primary && !m.listed_primary;
         (m.group, m.zone, m.listed_primary) = (entry.group, entry.zone, entry.primary);
+        m.gone = entry.listed == Listed::Gone;
         m.barred = match entry.listed {
             Listed::Ready => false,
             Listed::Draining => true,
@@ -223,7 +200,7 @@
         };
         let restarted = entry.started > m.started;
         if restarted {
-            (m.started, m.failures, m.silent) = (entry.started, 0, false);
+            (m.started, m.failures, m.unanswered) = (entry.started, 0, 0);
         }
         let group = self.groups.entry(entry.group).or_default();
         group.members.insert(entry.member);
@@ -283,43 +260,47 @@
         let Some(at) = m.open.iter().position(|o| o.request == ended.request) else { return };
         let attempt = m.open.swap_remove(at);
         // What a served write's note tells is its commit, no position to count on.
-        let write = self.is_write(attempt.class);
-        let position = ended.note.position.filter(|_| !write || outcome != Outcome::Served);
+        let position =
+            ended.note.position.filter(|_| outcome != Outcome::Served || !self.is_write(attempt.class));
         self.learn(id, position, ended.note.role, now);
         let Some(m) = self.members.get_mut(&id) else { return };
+        let (was_silent, tail) = (m.is_silent(), self.services[attempt.class].tail());
+        // One that others outran was lost by its connection, and says nothing of its member.
+        let lost = outcome == Outcome::TimedOut && m.last_answer >= attempt.sent;
         match outcome {
             Outcome::Served | Outcome::Misplaced | Outcome::Error => {
-                (m.failures, m.silent, m.last_answer) = (0, false, now);
-            }
-            // Silence counts only after the time that nearly all answers take, with no later one.
-            Outcome::TimedOut if m.last_answer < attempt.sent => {
-                m.silent |= ended.took as f64 >= self.services[attempt.class].tail();
+                (m.failures, m.unanswered, m.last_answer) = (0, 0, now);
             }
+            // Silence counts only after the time that nearly all answers take.
+            Outcome::TimedOut if !lost => m.unanswered += u32::from(ended.took as f64 >= tail),
             Outcome::Unreachable if self.refused > SCARCE && !m.dark => m.failures = m.failures.max(1),
             Outcome::Unreachable | Outcome::Reset => m.failures += 1,
             _ => {}
         }
         self.refused += GAIN * (f64::from(outcome == Outcome::Unreachable) - self.refused);
+        self.lost += GAIN / 20.0 * (f64::from(lost) - self.lost);
         // Members that accept few connections are not to have them taken up by idle ones of a whole fleet.
         out.extend((m.open.is_empty() && self.refused > SCARCE).then_some(Action::CloseIdle(id)));
         let service = &mut self.services[attempt.class];
         let aim = self.settings.classes[attempt.class].aim as f64;
         let least = (FIRST_LIMIT / f64::from(self.settings.routers.max(1))).min(1.0);
         let strain = match outcome {
-            Outcome::Served | Outcome::TimedOut => (ended.took as f64 - service.base) / service.spare(aim),
+            Outcome::Served | Outcome::TimedOut if !lost || self.lost < SCARCE => {
+                (ended.took as f64 - service.base) / service.spare(aim)
+            }
             Outcome::Full => 3.0,
             _ => return,
         };
         (outcome == Outcome::Served).then(|| service.add(ended.took as f64));
         let weight = GAIN.max(1.0 - (-(now.saturating_sub(m.told_at) as f64) / SPARSE).exp());
         let used = (m.open.len() + 1) as f64;
-        m.limit = m.present_limit(now);
+        m.limit = m.present_limit(now).max(if was_silent && !m.is_silent() { least } else { 0.0 });
         if strain > 1.0 {
             m.limit = (m.limit.min(used) * (1.0 - weight * (1.0 - 1.0 / strain))).max(least);
         } else if used + 1.0 >= m.limit {
             m.limit += if m.limit < 1.0 { weight * m.limit } else { 1.0 / m.limit };
         }
-        m.limit = if m.silent { m.limit.min(least * SILENT_SHARE) } else { m.limit };
+        m.limit = if m.is_silent() { m.limit.min(least * SILENT_SHARE) } else { m.limit };
         m.told_at = now;
     }
 
@@ -341,7 +322,8 @@
     /// Whether nothing speaks against a member; else it is possibly dead, and dropped after some failures.
     fn is_good(&self, m: &Member) -> bool {
         let overdue = |o: &Open| self.now > o.sent + 2 * self.services[o.class].tail() as Micros;
-        m.failures == 0 && !m.silent && !m.open.iter().any(|o| m.last_answer < o.sent && overdue(o))
+        let doubts = m.open.iter().filter(|o| m.last_answer < o.sent && overdue(o)).count() as u32;
+        m.failures == 0 && m.unanswered + doubts < SILENT
     }
 
     /// The last known primary of a group, unless nothing new may go there.
@@ -371,7 +353,7 @@
             SessionMarks::Router => remembered.unwrap_or(self.now.saturating_sub(SESSION_MEMORY)),
         };
         let Request { class, group, session, budget, repeat, .. } = *request;
-        let (ends, half, lot) = (self.now + budget, self.now + budget / 2, self.draw(u64::MAX));
+        let (ends, half, lot) = (self.now + budget, self.now + budget / 2, self.random.draw(u64::MAX));
         let usual = self.services[class].vote(budget, self.tick);
         // First tries all get the same time, a last one what is left of the deadline: one of another length
         // tells how long ago the client first asked. Shorter may also mean that a first try came late.
@@ -443,11 +425,13 @@
         let consistency = self.settings.classes[held.class].consistency;
         let primary = self.primary(held.group).filter(|p| self.may_send(held, p));
         if matches!(consistency, Consistency::Write | Consistency::Fresh) {
-            return primary.filter(|p| self.has_room(held, p)).map(|p| p.id);
+            let due = |p: &Member| self.now >= p.last_sent + SEARCH_PERIOD * u64::from(self.settings.routers);
+            let fit = |p: &&Member| self.has_room(held, p) || p.is_silent() && due(p);
+            return primary.filter(fit).map(|p| p.id);
         }
         let fit = |m: &&Member| !self.is_primary(m) && !held.tried.contains(&m.id) && self.may_send(held, m);
         let eligible: Vec<&Member> = self.group_members(held.group).filter(fit).collect();
-        if let Some(suspect) = eligible.iter().find(|m| m.silent && self.has_room(held, m)) {
+        if let Some(suspect) = eligible.iter().find(|m| m.is_silent() && self.has_room(held, m)) {
             return Some(suspect.id);
         }
         let responsive = eligible.iter().copied().chain(primary).any(|m| self.is_good(m));
@@ -553,7 +537,7 @@
     fn cold_room(&self, held: &Held, m: &Member) -> bool {
         let share = self.warmth(m) * self.settings.rules.fall_multiple * COLD_MARGIN;
         let others = || self.group_members(m.group).filter(|o| !o.barred);
-        let up = others().filter(|o| o.failures == 0 && !o.silent).count() as f64 / 2.0;
+        let up = others().filter(|o| o.failures == 0 && !o.is_silent()).count() as f64 / 2.0;
         let part = if self.is_write(held.class) { 1.0 } else { up.max(1.0) / others().count().max(1) as f64 };
         let work = self.services[held.class].base;
         let load = |m| load_left(m, self.now, self.settings.rules.fall_window);
@@ -569,8 +553,7 @@
 
     /// A number from 0 to 1 for this request at this member, the same whenever it is asked for.
     fn lot(&self, held: &Held, m: &Member) -> f64 {
-        let mixed = (held.lot ^ u64::from(m.id.0)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        (mixed >> 11) as f64 / (1u64 << 53) as f64
+        share_of(held.lot ^ u64::from(m.id.0))
     }
 
     /// Rule 2: a refusal promises that trying again is harmless.
@@ -586,12 +569,16 @@
         let now = self.now;
         let (Some(held), Some(m)) = (self.held.get_mut(&id), self.members.get_mut(&to)) else { return };
         let service = &self.services[held.class];
+        let class = &self.settings.classes[held.class];
+        let patience = (service.tail() as Micros).max(class.aim / 2) << held.tried.len();
+        let useful = class.late_worth > 0.0 && class.effect != Effect::Unsafe;
+        let wait = if useful && self.lost > SCARCE { patience } else { 0 };
         held.out = Some(now);
         held.tried.push(to);
         m.open.push(Open { request: id, sent: now, class: held.class });
         m.load = load_left(m, now, self.settings.rules.fall_window) + service.base;
         m.last_sent = now;
-        out.push(Action::Send { request: id, member: to });
+        out.push(Action::Send { request: id, member: to, wait });
     }
 
     // ---- Outcome ----
@@ -634,8 +621,11 @@
         let Some(held) = self.held.get(&id) else { return };
         let (class, limits) = (&self.settings.classes[held.class], &self.settings.limits);
         let retry_after = if limits.retry_after { limits.max_retry_after.min(class.aim / 2) } else { 0 };
-        let may = self.may_refuse(held);
-        out.push(if may { Action::Refuse { request: id, retry_after } } else { Action::Fail(id) });
+        out.push(if self.may_refuse(held) {
+            Action::Refuse { request: id, retry_after }
+        } else {
+            Action::Fail(id)
+        });
         self.held.remove(&id);
     }
 
@@ -650,11 +640,25 @@
         }
         if self.now % PROBE_PERIOD < self.tick {
             self.sessions.retain(|_, commit| *commit + SESSION_MEMORY > self.now);
+            self.forget(out);
         }
         self.services.iter_mut().for_each(|s| s.base += self.tick as f64 / MEMORY * (s.mean - s.base));
         self.pump_busy(out);
     }
 
+    /// A member off the list is forgotten once nothing is under way there and, where it may still be used, it
+    /// has not answered for long; so is a group that only requests have named.
+    fn forget(&mut self, out: &mut Vec<Action>) {
+        let idle = |m: &Member| m.barred || self.now > m.last_answer + SESSION_MEMORY;
+        let over = |m: &&Member| m.gone && m.open.is_empty() && !m.probe_out && idle(m);
+        for id in self.members.values().filter(over).map(|m| m.id).collect::<Vec<_>>() {
+            self.members.remove(&id);
+            out.push(Action::Forget(id));
+        }
+        self.groups.values_mut().for_each(|g| g.members.retain(|id| self.members.contains_key(id)));
+        self.groups.retain(|_, g| !g.members.is_empty() || !g.line.is_empty());
+    }
+
     /// A read whose replicas' records have run out has them probed, those of its own zone even while others
     /// are fresh. A record in use is renewed by its answers: probing by the clock would only cost more.
     fn probe_for(&mut self, held: &Held, out: &mut Vec<Action>) {
@@ -676,7 +680,7 @@
         let silent = group.primary.map_or(0, |(_, seen)| self.now.saturating_sub(seen));
         let lost = self.primary(id).is_none_or(|p| silent > PROBE_PERIOD && !self.is_good(p));
         let search = (lost && !group.line.is_empty()).then_some(silent / SEARCH_SPREAD);
-        let doublings = |m: &Member| m.failures.max(u32::from(m.silent && !m.dark) * DROP_FAILURES);
+        let doublings = |m: &Member| m.failures.max(u32::from(m.is_silent() && !m.dark) * DROP_FAILURES);
         let rare = |m| PROBE_PERIOD << doublings(m).min(DROP_FAILURES);
         let pause = |m| search.map_or(rare(m), |p| p.clamp(SEARCH_PERIOD, PROBE_PERIOD));
         let due = self.group_members(id).filter(|m| lost || !self.is_good(m));
@@ -693,14 +697,6 @@
             }
         }
     }
-
-    /// A number under `below`, from the instance's own seed (xorshift).
-    fn draw(&mut self, below: Micros) -> Micros {
-        self.random ^= self.random << 13;
-        self.random ^= self.random >> 7;
-        self.random ^= self.random << 17;
-        self.random % below.max(1)
-    }
 }
 
 /// What is left of the work sent to a member, forgotten over this time.
@@ -709,6 +705,10 @@
 }
 
 impl Member {
+    fn is_silent(&self) -> bool {
+        self.unanswered >= SILENT
+    }
+
     /// A limit under one is the share of requests that may come here; without news it doubles now and then.
     fn present_limit(&self, now: Micros) -> f64 {
         let age = now.saturating_sub(self.told_at) as f64;
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -374,3 +374,128 @@
     let (id, actions) = stage.ask(ANY);
     assert_eq!(sent(&actions, id), Some(2));
 }
+
+/// One connection that falls silent is no silent member: with few requests, no later answer may be there to tell.
+#[test]
+fn a_single_unanswered_attempt_leaves_its_member_in_use() {
+    let mut stage = Stage::with(settings(), &[entry(1, 0, true), entry(2, 0, false)]);
+    let (lost, actions) = stage.ask(ANY);
+    assert_eq!(sent(&actions, lost), Some(2));
+    stage.pass(1_000 * MS);
+    let (second, actions) = stage.ask(ANY);
+    assert_eq!(sent(&actions, second), Some(2), "one overdue attempt");
+    stage.pass(1_000 * MS);
+    let (id, actions) = stage.ask(ANY);
+    assert_eq!(sent(&actions, id), Some(1), "two overdue, and no answer since");
+    stage.ended(second, 2, Outcome::Served, Note::default());
+    let (id, actions) = stage.ask(ANY);
+    assert_eq!(sent(&actions, id), Some(2), "it answers");
+}
+
+/// While a silent primary is all there is for writes, those that wait test it by time: their lots were drawn once,
+/// and few come.
+#[test]
+fn a_silent_primary_is_tested_by_waiting_writes() {
+    let mut stage = Stage::new();
+    let lost: Vec<_> = (0..2).map(|_| stage.ask(WRITE).0).collect();
+    stage.pass(1_500 * MS);
+    stage.took = 1_500 * MS;
+    lost.into_iter().for_each(|id| drop(stage.ended(id, 1, Outcome::TimedOut, Note::default())));
+    let (id, mut actions) = stage.ask(WRITE);
+    actions.extend(stage.pass(320 * MS));
+    assert_eq!(sent(&actions, id), Some(1));
+    stage.took = 50 * MS;
+    stage.ended(id, 1, Outcome::Served, stage.note(Role::Primary));
+    for _ in 0..5 {
+        let (id, actions) = stage.ask(WRITE);
+        assert_eq!(sent(&actions, id), Some(1), "it answers work again");
+        stage.ended(id, 1, Outcome::Served, stage.note(Role::Primary));
+    }
+}
+
+/// Where connections lose what they carry, a write is repeated while it can still earn something; elsewhere it is
+/// waited for, since a slow answer is no lost one.
+#[test]
+fn attempts_are_given_up_early_only_while_connections_lose_them() {
+    let mut stage = Stage::new();
+    let wait = |actions: &[Action], id| {
+        let send = actions.iter().find_map(|a| match a {
+            Action::Send { request, wait, .. } if *request == id => Some(*wait),
+            _ => None,
+        });
+        send.expect("it is sent")
+    };
+    let (id, actions) = stage.ask(WRITE);
+    assert_eq!(wait(&actions, id), 0);
+    stage.ended(id, 1, Outcome::Served, stage.note(Role::Primary));
+    for _ in 0..10 {
+        let (lost, actions) = stage.ask(ANY);
+        let member = sent(&actions, lost).unwrap();
+        stage.now += MS;
+        let mut other = stage.ask(ANY);
+        while sent(&other.1, other.0) != Some(member) {
+            let elsewhere = sent(&other.1, other.0).unwrap();
+            stage.ended(other.0, elsewhere, Outcome::Served, Note::default());
+            other = stage.ask(ANY);
+        }
+        stage.ended(other.0, member, Outcome::Served, Note::default());
+        stage.ended(lost, member, Outcome::TimedOut, Note::default());
+        stage.event(Event::HungUp(lost));
+    }
+    let (id, actions) = stage.ask(WRITE);
+    let first = wait(&actions, id);
+    assert!(first > 0 && first < 600 * MS, "{first}: a repeat can be within the aim");
+    let actions = stage.ended(id, 1, Outcome::TimedOut, Note::default());
+    assert_eq!(wait(&actions, id), 2 * first, "one that is only slow gets longer");
+    let (id, actions) = stage.ask(UNSAFE);
+    assert_eq!(wait(&actions, id), 0, "never repeated, so waited for");
+}
+
+/// Members that leave for good come under ids never seen again.
+#[test]
+fn members_off_the_list_are_forgotten_once_nothing_is_under_way() {
+    let mut stage = Stage::new();
+    let forgets = |actions: &[Action], member| actions.contains(&Action::Forget(MemberId(member)));
+    let (id, actions) = stage.ask(ANY);
+    let member = sent(&actions, id).unwrap();
+    stage.list(ListKind::Full, &[entry(1, 0, true)]);
+    let actions = stage.pass(1_100 * MS);
+    assert!(!forgets(&actions, member), "an attempt is out there");
+    assert!(forgets(&actions, 5 - member) && !forgets(&actions, 1));
+    stage.ended(id, member, Outcome::Served, Note::default());
+    assert!(forgets(&stage.pass(1_100 * MS), member));
+    // One that comes back is used again, as a new one.
+    let mut again = entry(member, 0, false);
+    again.listed = Listed::Ready;
+    stage.list(ListKind::Delta, &[again]);
+    stage.probed(member, stage.now, false);
+    let (id, actions) = stage.ask(READ);
+    assert_eq!(sent(&actions, id), Some(member));
+}
+
+/// Where a list that calls serving members gone does not bind, they are known for as long as they answer.
+#[test]
+fn a_member_off_a_list_that_does_not_bind_is_known_while_it_answers() {
+    let mut settings = settings();
+    settings.rules.only_draining_binds = true;
+    let mut stage = Stage::with(settings, &entries());
+    let (id, actions) = stage.ask(ANY);
+    let member = sent(&actions, id).unwrap();
+    stage.ended(id, member, Outcome::Served, Note::default());
+    stage.list(ListKind::Full, &[entry(1, 0, true)]);
+    assert!(!stage.pass(1_100 * MS).contains(&Action::Forget(MemberId(member))));
+    assert!(stage.pass(60_000 * MS).contains(&Action::Forget(MemberId(member))));
+}
+
+/// Clients that name groups which do not exist leave nothing behind.
+#[test]
+fn a_group_that_only_requests_name_is_forgotten() {
+    let mut stage = Stage::new();
+    for group in 100..200 {
+        stage.ask_with(ANY, 100 * MS, |r| r.group = GroupId(group));
+    }
+    let actions = stage.pass(2_000 * MS);
+    assert_eq!(actions.iter().filter(|a| matches!(a, Action::Refuse { .. })).count(), 100);
+    let sizes = stage.router.sizes();
+    assert_eq!((sizes.members, sizes.groups, sizes.requests), (3, 1, 0));
+}
