The log tells what the driver holds; a new member is probed when its group is read

A test that replaces 40 members waited in vain for the new one to be used: rules.rs probe_for probed a stale replica only while none in its zone was fresh, so a new one stayed unused for as long as its neighbours did the work. Now one never heard of is probed when its group is read. The regular log has a second line: entries of all tables, connections, ids, memory, descriptors.

--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -120,11 +120,12 @@
     let clients = client::Clients::new(node.clone(), handle);
     node.spawn({
         let node = node.clone();
-        async move { node.stats.report().await }
+        async move { stats::report(&node).await }
     });
     let serve = shutdown::serve(node.clone(), listener, clients, stop);
     async_io::block_on(node.executor.run(serve));
     info!("counts: {}", node.stats.line());
+    info!("holds: {}", stats::holdings(&node));
     Ok(())
 }
 
--- a/crates/driver/src/module.rs
+++ b/crates/driver/src/module.rs
@@ -445,6 +445,7 @@
             return;
         }
         self.swept = now;
+        self.node.stats.note(self.router.sizes());
         let late = self.open.iter().filter(|(_, open)| open.out.is_none() && now > open.ends + OVERDUE);
         for id in late.map(|(id, _)| *id).collect::<Vec<_>>() {
             warn!("request {} was not decided in time", id.0);
--- a/crates/driver/src/stats.rs
+++ b/crates/driver/src/stats.rs
@@ -1,12 +1,16 @@
-//! Counters, the regular line in the log, and the checks of what must hold.
+//! Counters, what the driver holds, the regular lines in the log, and the checks of what must hold.
 
 use std::cell::Cell;
 use std::fmt::Write;
+use std::fs;
 use std::time::Duration;
 
 use async_io::Timer;
+use beaconshore::sizes::Sizes;
 use log::{info, warn};
 
+use crate::Node;
+
 /// Pause between two lines.
 const PERIOD: Duration = Duration::from_secs(10);
 
@@ -76,10 +80,11 @@
     Breaches = "breaches",
 );
 
-/// The driver's counters.
+/// The driver's counters, and the sizes of the decision module's tables as last noted.
 #[derive(Debug, Default)]
 pub struct Stats {
     counts: [Cell<u64>; NAMES.len()],
+    sizes: Cell<Sizes>,
 }
 
 impl Stats {
@@ -107,16 +112,43 @@
         line
     }
 
-    /// Writes the line now and then, as long as it changes.
-    pub async fn report(&self) {
-        let mut last = String::new();
-        loop {
-            Timer::after(PERIOD).await;
-            let line = self.line();
-            if line != last {
-                info!("counts: {line}");
-                last = line;
-            }
+    /// Notes the sizes of the decision module's tables.
+    pub fn note(&self, sizes: Sizes) {
+        self.sizes.set(sizes);
+    }
+}
+
+/// What the driver holds, in one line.
+pub fn holdings(node: &Node) -> String {
+    let Sizes { members, groups, requests, sessions } = node.stats.sizes.get();
+    let (clients, connections) = (node.descriptors.clients.taken(), node.descriptors.members.taken());
+    let mut line = format!(
+        "members={members} groups={groups} requests={requests} sessions={sessions} ids={} clients={clients} \
+         member_connections={connections}",
+        node.ids.len()
+    );
+    // Told by the system, where it does.
+    let resident = fs::read_to_string("/proc/self/status").ok().and_then(|status| {
+        let kilobytes = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        kilobytes.trim().strip_suffix(" kB").map(str::to_string)
+    });
+    let descriptors = fs::read_dir("/proc/self/fd").ok().map(Iterator::count);
+    resident.into_iter().for_each(|kilobytes| line += &format!(" memory_kb={kilobytes}"));
+    // One of them is the look itself.
+    descriptors.into_iter().for_each(|count| line += &format!(" descriptors={}", count.saturating_sub(1)));
+    line
+}
+
+/// Writes both lines now and then, as long as the counters change.
+pub async fn report(node: &Node) {
+    let mut last = String::new();
+    loop {
+        Timer::after(PERIOD).await;
+        let line = node.stats.line();
+        if line != last {
+            info!("counts: {line}");
+            info!("holds: {}", holdings(node));
+            last = line;
         }
     }
 }
--- a/crates/driver/tests/common/driver.rs
+++ b/crates/driver/tests/common/driver.rs
@@ -140,10 +140,14 @@
         self.log.lock().unwrap().iter().any(|line| line.contains(text))
     }
 
+    /// The last line of the log that holds this.
+    pub fn last_line(&self, text: &str) -> String {
+        self.log.lock().unwrap().iter().rfind(|line| line.contains(text)).cloned().unwrap_or_default()
+    }
+
     /// The last counts that were logged.
     pub fn counts(&self) -> String {
-        let log = self.log.lock().unwrap();
-        log.iter().rfind(|line| line.contains("counts:")).cloned().unwrap_or_default()
+        self.last_line("counts:")
     }
 
     pub fn is_running(&mut self) -> bool {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -666,7 +666,8 @@
         let replicas = self.group_members(held.group).filter(|m| !self.is_primary(m));
         let (fresh, stale): (Vec<&Member>, Vec<&Member>) = replicas.partition(|m| self.is_fresh(held, m));
         let near = |m: &&Member| m.zone == self.settings.zone;
-        let due = stale.iter().filter(|m| fresh.is_empty() || near(m) && !fresh.iter().any(near));
+        let due =
+            stale.iter().filter(|m| m.heard == 0 || fresh.is_empty() || near(m) && !fresh.iter().any(near));
         // One that lags far needs time to catch up: it is asked less often.
         let pause = |m: &Member| (bound / 2).max(self.now.saturating_sub(m.position) / 4).min(PROBE_PERIOD);
         let due = due.filter(|m| self.now >= m.heard + pause(m)).map(|m| (m.id, pause(m))).collect();
--- a/src/sizes.rs
+++ b/src/sizes.rs
@@ -3,7 +3,7 @@
 use crate::rules::Router;
 
 /// Entries of a router's tables.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Sizes {
     /// Members that it knows.
     pub members: usize,
