At SIGTERM who still asks is served until the end, and what is open then is answered

Cause: shutdown.rs closed every connection without an open request half a second after the signal, while clients may have nowhere else to go yet, and left what no member had answered to the kill that follows. Change: connections end when idle for a second (Phase::Leaving), deadlines are cut to the driver's own end, and Mail::Finish fails what is open 0.3 s before it. The way to the end takes the longest deadline, 3 s at most, and 0.7 s. Tests: served for 2.5 s after the signal on one connection; an attempt at a silent member is answered before the end. Both fail without the change.

--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -30,6 +30,8 @@
 const MESSAGE_WAIT: Duration = Duration::from_secs(2);
 /// A connection without a request for so long ends.
 const IDLE_WAIT: Duration = Duration::from_secs(20);
+/// The same once the driver is asked to end: who asks again sooner keeps being served.
+const LEAVING_IDLE_WAIT: Duration = Duration::from_secs(1);
 /// What has just begun, a connection or a message, is not asked to make room for so long.
 const SPARED: Duration = Duration::from_millis(100);
 /// Messages in a row that are no requests end a connection.
@@ -70,18 +72,30 @@
     Failed,
 }
 
+/// How long connections stay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// As long as they are of use.
+    Serving,
+    /// The driver was asked to end: as long as they are in use.
+    Leaving,
+    /// Until they have no open request.
+    Closing,
+}
+
 /// All clients' connections.
 pub struct Clients {
     node: Rc<Node>,
     module: ModuleHandle,
-    /// Connections end once they have no open request.
-    closing: Cell<bool>,
+    phase: Cell<Phase>,
+    /// When the driver ends: until then all that it still takes is to be answered.
+    ends: Cell<Micros>,
 }
 
 impl Clients {
     /// No connections yet.
     pub fn new(node: Rc<Node>, module: ModuleHandle) -> Rc<Self> {
-        Rc::new(Clients { node, module, closing: Cell::new(false) })
+        Rc::new(Clients { node, module, phase: Cell::new(Phase::Serving), ends: Cell::new(Micros::MAX) })
     }
 
     /// Starts the actor of a connection.
@@ -114,9 +128,17 @@
         });
     }
 
-    /// Has every connection end once it has no open request.
+    /// Has connections end that are not in use any more; what is still taken is answered by then.
+    pub fn leave(&self, left: Duration) {
+        self.phase.set(Phase::Leaving);
+        self.ends.set(self.node.clock.now() + left.as_micros() as Micros);
+        self.node.descriptors.clients.close_idle();
+    }
+
+    /// Has every open request answered, and every connection end.
     pub fn close(&self) {
-        self.closing.set(true);
+        self.phase.set(Phase::Closing);
+        self.module.send(Mail::Finish);
         self.node.descriptors.clients.close_idle();
     }
 
@@ -358,7 +380,7 @@
             class,
             group: text.group,
             session: in_session.then(|| session(text.key)),
-            ends: from + wait,
+            ends: (from + wait).min(self.clients.ends.get()),
             repeat: text.repeat,
             after: text.after,
             statement: Rc::new(Statement { text: query.into(), wait_at: text.wait_at }),
@@ -420,14 +442,19 @@
         let clients = self.clients.clone();
         let has_begun = !self.buffer.filled().is_empty();
         let at_work = has_begun || self.state == State::New;
-        let deadline = self.since + if at_work { MESSAGE_WAIT } else { IDLE_WAIT };
+        let deadline = self.since
+            + match clients.phase.get() {
+                _ if at_work => MESSAGE_WAIT,
+                Phase::Serving => IDLE_WAIT,
+                Phase::Leaving | Phase::Closing => LEAVING_IDLE_WAIT,
+            };
         if at_work {
             match until(self.since + SPARED, self.wake(length, true)).await {
                 Some(Wake::Input(read)) => return Ok(read? > 0),
                 Some(Wake::Mail(_)) | None => {}
             }
         }
-        if clients.closing.get() && !has_begun {
+        if clients.phase.get() == Phase::Closing && !has_begun {
             return self.last_look().await;
         }
         let rank = if at_work { Rank::Useless } else { Rank::Used };
@@ -436,6 +463,12 @@
         drop(rest);
         match wake {
             Some(Wake::Input(read)) => Ok(read? > 0),
+            Some(Wake::Mail(ClientMail::Close))
+                if clients.phase.get() == Phase::Leaving && self.since.elapsed() < LEAVING_IDLE_WAIT =>
+            {
+                clients.node.descriptors.clients.asked_in_vain();
+                Ok(true)
+            }
             Some(Wake::Mail(ClientMail::Close)) => self.last_look().await,
             Some(Wake::Mail(ClientMail::Answer(..))) => {
                 clients.node.stats.check(false, "an answer comes only while its request is open");
--- a/crates/driver/src/module.rs
+++ b/crates/driver/src/module.rs
@@ -45,6 +45,8 @@
     AttemptEnded(Box<AttemptEnd>),
     /// The end of a probe.
     ProbeEnded(MemberId, Outcome, Report),
+    /// The driver ends: all that is open is answered now.
+    Finish,
     /// Whether a send that had to wait may still go out.
     Confirm(RequestId, MemberId, Sender<bool>),
 }
@@ -245,6 +247,7 @@
                 report.position = report.position.map(|p| self.node.skew.ours(p));
                 self.handle(&Event::ProbeEnded { member, outcome, report });
             }
+            Mail::Finish => self.finish(),
             Mail::Confirm(request, member, reply) => {
                 let _ = reply.try_send(self.router.confirm(self.node.clock.now(), request, member));
             }
@@ -331,6 +334,16 @@
         self.handle(&Event::HungUp(id));
     }
 
+    /// Fails what is open: nothing is promised of it.
+    fn finish(&mut self) {
+        for (id, open) in std::mem::take(&mut self.open) {
+            open.out.into_iter().for_each(|member| self.mail_member(member, MemberMail::Cancel(id)));
+            self.handle(&Event::HungUp(id));
+            self.node.stats.count(Counter::Failed);
+            let _ = open.client.try_send(ClientMail::Answer(id, Answer::Failed));
+        }
+    }
+
     fn on_end(&mut self, end: AttemptEnd) {
         let AttemptEnd { request, member, outcome, served, told, took } = end;
         if let Some(open) = self.open.get_mut(&request) {
--- a/crates/driver/src/shutdown.rs
+++ b/crates/driver/src/shutdown.rs
@@ -12,10 +12,16 @@
 use crate::client::Clients;
 use crate::Node;
 
-/// New connections still come for so long after the signal: they are taken, and old ones are kept.
+/// New connections still come for so long after the signal: they are taken.
 const TURNING: Duration = Duration::from_millis(500);
-/// No new connection for so long, with none left open, and the driver ends.
+/// No connection left for so long, and the driver ends.
 const QUIET: Duration = Duration::from_millis(200);
+/// The signal leaves the time of the longest request, at most this much...
+const LONGEST: Duration = Duration::from_secs(3);
+/// ...and so long for what comes after it, of which the last part is for the last answers.
+const GRACE: Duration = Duration::from_millis(700);
+const LAST_ANSWERS: Duration = Duration::from_millis(300);
+
 /// Pause after an accept that failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -31,22 +37,29 @@
         stop.await;
         info!("stopping: no further requests are wanted");
         let longest = node.site.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-        let end = Instant::now() + TURNING + Duration::from_micros(longest);
-        Timer::after(TURNING).await;
+        let (start, left) = (Instant::now(), Duration::from_micros(longest).min(LONGEST) + GRACE);
+        // Clients may have nowhere else to go yet: who still asks is served for as long as there is time.
+        clients.leave(left - LAST_ANSWERS);
+        all_gone(&clients, start + TURNING, start + left - LAST_ANSWERS).await;
         clients.close();
-        let mut quiet_since = Instant::now();
-        // By the end the time of all that was taken is over; what is left has sent half a request.
-        while quiet_since.elapsed() < QUIET && Instant::now() < end {
-            if !clients.is_empty() {
-                quiet_since = Instant::now();
-            }
-            Timer::after(QUIET / 20).await;
-        }
+        // What is left by then has sent half a request, or reads no answer.
+        all_gone(&clients, start + TURNING, start + left - LAST_ANSWERS / 3).await;
         info!("stopped: all that was taken is answered");
     };
     future::or(end, accept).await;
 }
 
+/// Waits until no client was left for a while, not before one time and not beyond another.
+async fn all_gone(clients: &Rc<Clients>, earliest: Instant, latest: Instant) {
+    let mut quiet_since = Instant::now();
+    while Instant::now() < latest && (quiet_since.elapsed() < QUIET || Instant::now() < earliest) {
+        if !clients.is_empty() {
+            quiet_since = Instant::now();
+        }
+        Timer::after(QUIET / 20).await;
+    }
+}
+
 async fn accept(node: &Rc<Node>, listener: &Async<TcpListener>, clients: &Rc<Clients>) {
     let mut failing = false;
     loop {
--- a/crates/driver/tests/troubles.rs
+++ b/crates/driver/tests/troubles.rs
@@ -239,6 +239,38 @@
     assert!(idle.answer().is_err(), "closed between requests");
 }
 
+#[test]
+fn asked_to_stop_it_serves_who_still_asks_on_a_connection_until_its_time_is_up() {
+    let mut world = World::start();
+    let mut client = world.client();
+    world.driver.signal("TERM");
+    let asked = Instant::now();
+    let mut served_at = Duration::ZERO;
+    while asked.elapsed() < Duration::from_millis(2500) {
+        assert!(client.ask(&read(2000)).is_served(), "not served any more after {served_at:?}");
+        served_at = asked.elapsed();
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    assert!(world.driver.ended().success());
+    assert!(asked.elapsed() < Duration::from_millis(4500), "ended after {:?}", asked.elapsed());
+}
+
+#[test]
+fn asked_to_stop_it_leaves_nothing_open_that_no_member_answers() {
+    let mut world = World::start();
+    world.members().iter().for_each(|m| m.behave(Behaviour::Silent));
+    let mut client = world.client();
+    let before = world.queries();
+    client.send(&query(&read(5000)));
+    eventually("the request is under way", || world.queries() > before);
+    world.driver.signal("TERM");
+    let asked = Instant::now();
+    let answer = client.answer().expect("a whole answer before the end");
+    assert!(answer.code.is_some(), "{answer:?}");
+    assert!(asked.elapsed() < Duration::from_millis(3700), "answered after {:?}", asked.elapsed());
+    assert!(world.driver.ended().success());
+}
+
 #[test]
 fn a_driver_that_was_killed_starts_again_at_its_address() {
     let world = World::start();
