The test of open requests at SIGTERM uses a write, and now fails without the change

Run without it, the one of an open request passed: a read's time is over after 1 s anyway. A write has 5 s; without the change it is answered too late (5.1 s), with it in time.

--- a/crates/driver/tests/troubles.rs
+++ b/crates/driver/tests/troubles.rs
@@ -261,7 +261,7 @@
     world.members().iter().for_each(|m| m.behave(Behaviour::Silent));
     let mut client = world.client();
     let before = world.queries();
-    client.send(&query(&read(5000)));
+    client.send(&query(&write(5000)));
     eventually("the request is under way", || world.queries() > before);
     world.driver.signal("TERM");
     let asked = Instant::now();
