Zones are planned for: lost, cut off, spill limit, ramps; off unless an operator's file asks

Change: crates/zones keeps evidence by member, a state by zone with a bound on its changes, a way back in proven steps, and an exact one-second window against the stated spill limit. Its words reach the module as Event::Advice, which only narrows it (rules.rs: on_advice, tier, spills, admits, is_shut_out). crates/steering puts module and planners together; crates/operator reads the operator's file (protobuf text format, line and column in every error). The driver runs the composition with planners off. Tests: the composition without planners acts as the module alone over 60,000 random events; windows, allotment, tiers, places in files.

--- a/crates/driver/src/module.rs
+++ b/crates/driver/src/module.rs
@@ -1,4 +1,4 @@
-//! The module's actor: it owns the decision module and the table of open requests. Here alone messages become
+//! The module's actor: it owns the decision module with its planners and the table of open requests. Here alone messages become
 //! events and actions become messages.
 
 use std::collections::HashMap;
@@ -13,7 +13,7 @@
     Action, Ended, Entry, Event, GroupId, ListKind, Listed, MemberId, Micros, Outcome, Report, Request,
     RequestId, Role, SessionId, Word, ZoneId,
 };
-use beaconshore::Router;
+use beaconshore_steering::Steering;
 use futures_lite::future;
 use log::{info, warn};
 
@@ -146,7 +146,7 @@
 /// The module's actor.
 pub struct Module {
     node: Rc<Node>,
-    router: Router,
+    router: Steering,
     mail: Receiver<Mail>,
     lists: Receiver<Listing>,
     words: Receiver<Vec<PeerWord>>,
@@ -169,7 +169,7 @@
         let (list_sender, lists) = async_channel::bounded(LISTS);
         let (word_sender, words) = async_channel::bounded(DATAGRAMS);
         let handle = ModuleHandle { mail: mail_sender, lists: list_sender, words: word_sender };
-        let router = Router::new(node.site.settings.clone(), config.seed, node.clock.now());
+        let router = Steering::new(node.site.settings.clone(), None, config.seed, node.clock.now());
         let (open, members, ids, listed, due, swept) = Default::default();
         let (peers, given) = (peers.map(Peers::mailbox), handle.clone());
         let module = Module {
--- /dev/null
+++ b/crates/zones/src/ramp.rs
@@ -0,0 +1,146 @@
+//! The way back of one zone: steps of growing share, each of which must prove itself before the next.
+
+use beaconshore::interface::{Micros, RuleFigures};
+
+use crate::evidence::Assessment;
+use crate::policy::Policy;
+
+/// Shares of the reads that would go there, by step. The first is a few requests of each router.
+pub const STEPS: [f64; 8] = [0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1.0];
+/// Step at which a way that was only cut is taken up: its members did not get cold.
+const WARM_STEP: usize = 4;
+/// While its replicas are behind, a zone gets no more than this share: catching up comes first.
+const BEHIND_SHARE: f64 = 0.1;
+/// Part of the replicas that must be fresh for the zone not to be behind.
+const FRESH: f64 = 0.5;
+/// A zone this busy has no room for a further step.
+const BUSY: f64 = 0.9;
+/// A router with little traffic goes on after so many stays, with one answer and no failure.
+const SPARSE_STAYS: u32 = 8;
+
+/// What a step showed so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Proof {
+    answers: u32,
+    failures: u32,
+    took: f64,
+}
+
+/// How a step ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Move {
+    /// Not yet.
+    Stay,
+    /// It proved itself: the next one.
+    Up,
+    /// It was too much.
+    Down(Reason),
+    /// The last step proved itself: the zone is back.
+    Done,
+}
+
+/// Why a step was too much.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// Too many attempts failed.
+    Failures,
+    /// Answers took far longer than usual.
+    Slow,
+    /// Its replicas fall further behind.
+    FallingBehind,
+}
+
+/// A zone's way back.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ramp {
+    step: usize,
+    since: Micros,
+    began: Micros,
+    /// Each stay is so many times the usual: doubled by losses shortly before, and by steps that were too much.
+    doublings: u32,
+    fallen: u32,
+    proof: Proof,
+    /// Mean lag when the step began.
+    lag: f64,
+}
+
+impl Ramp {
+    /// The way back from a loss, lengthened by so many doublings; from a cut it starts further on.
+    pub fn start(now: Micros, cut: bool, doublings: u32) -> Self {
+        let step = if cut { WARM_STEP } else { 0 };
+        let doublings = if cut { 0 } else { doublings };
+        Ramp { step, since: now, began: now, doublings, fallen: 0, proof: Proof::default(), lag: f64::MAX }
+    }
+
+    /// The step, from 0.
+    pub fn step(&self) -> usize {
+        self.step
+    }
+
+    /// Takes the end of an attempt there.
+    pub fn on_end(&mut self, answered: bool, took: Micros) {
+        if answered {
+            self.proof.answers += 1;
+            self.proof.took += took as f64;
+        } else {
+            self.proof.failures += 1;
+        }
+    }
+
+    /// The share of reads that may go there now: the step's, as far as the age of its members allows. All
+    /// routers draw from their own traffic, so the sum over any fleet is this share of the zone's usual load.
+    pub fn share(&self, zone: &Assessment, rules: &RuleFigures, now: Micros) -> f64 {
+        let started = zone.youngest.unwrap_or(self.began).max(self.began.min(now));
+        let age = now.saturating_sub(started) as f64 / rules.warm_within.max(1) as f64;
+        let warm = rules.cold_share + (1.0 - rules.cold_share) * age.min(1.0);
+        let cold = if self.doublings == 0 && self.step >= WARM_STEP { 1.0 } else { warm };
+        let behind = if zone.fresh < FRESH { BEHIND_SHARE } else { 1.0 };
+        STEPS[self.step].min(cold).min(behind)
+    }
+
+    /// Looks at what the step showed.
+    pub fn look(&mut self, zone: &Assessment, policy: &Policy, usual: f64, now: Micros) -> Move {
+        let stay = policy.dwell << (self.doublings + self.fallen).min(policy.most_doublings);
+        let Proof { answers, failures, took } = self.proof;
+        let all = answers + failures;
+        if all >= policy.proof.max(2) && f64::from(failures) > policy.failures * f64::from(all) {
+            return self.fall(Reason::Failures, zone, policy, now);
+        }
+        if answers >= policy.proof && usual > 0.0 && took / f64::from(answers) > policy.slowdown * usual {
+            return self.fall(Reason::Slow, zone, policy, now);
+        }
+        if now < self.since + stay {
+            return Move::Stay;
+        }
+        if zone.fresh < FRESH {
+            // Behind: it stays for as long as it catches up, and gets less when it does not.
+            return match zone.lag >= self.lag && self.step > 0 {
+                true => self.fall(Reason::FallingBehind, zone, policy, now),
+                false => {
+                    self.enter(self.step, zone, now);
+                    Move::Stay
+                }
+            };
+        }
+        let sparse = now >= self.since + stay * Micros::from(SPARSE_STAYS) && answers > 0 && failures == 0;
+        if zone.utilization > BUSY || !(answers >= policy.proof || sparse) {
+            return Move::Stay;
+        }
+        self.fallen = 0;
+        if self.step + 1 == STEPS.len() {
+            return Move::Done;
+        }
+        self.enter(self.step + 1, zone, now);
+        Move::Up
+    }
+
+    fn fall(&mut self, reason: Reason, zone: &Assessment, policy: &Policy, now: Micros) -> Move {
+        self.fallen = (self.fallen + 1).min(policy.most_doublings);
+        self.enter(self.step.saturating_sub(2), zone, now);
+        Move::Down(reason)
+    }
+
+    fn enter(&mut self, step: usize, zone: &Assessment, now: Micros) {
+        (self.step, self.since, self.proof, self.lag) = (step, now, Proof::default(), zone.lag);
+    }
+}
--- /dev/null
+++ b/crates/zones/src/spill.rs
@@ -0,0 +1,132 @@
+//! The limit on what spills into one zone: what of it is left now, and which classes it is given to.
+
+use std::collections::BTreeMap;
+
+use beaconshore::interface::Micros;
+
+use crate::window::{Window, WINDOW};
+
+/// Weight of a round's demand in the mean; rounds come every `ROUND`.
+const GAIN: f64 = 0.1;
+/// Time between two rounds of shares, in microseconds.
+pub const ROUND: Micros = 50_000;
+
+/// What a class wants to spill, and what it is worth.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Wish {
+    /// Work wanted in a second, in microseconds.
+    pub work: f64,
+    /// Worth for a microsecond of work.
+    pub density: f64,
+}
+
+/// Gives a budget to classes by what they are worth for their work: the best whole, the next in part, the rest
+/// nothing. That is the best use of it, as long as parts of a class may go (the fractional knapsack). Returns
+/// each class's share and what is left.
+pub fn allot(budget: f64, wishes: &[Wish]) -> (Vec<f64>, f64) {
+    let mut order: Vec<usize> = (0..wishes.len()).collect();
+    order.sort_by(|a, b| wishes[*b].density.total_cmp(&wishes[*a].density));
+    let (mut shares, mut left) = (vec![1.0; wishes.len()], budget.max(0.0));
+    for class in order {
+        let work = wishes[class].work;
+        shares[class] = if work <= left { 1.0 } else { left / work };
+        left -= work * shares[class];
+    }
+    (shares, left.max(0.0))
+}
+
+/// Work that spilled into a zone, against its limit.
+#[derive(Clone, Debug)]
+pub struct Account {
+    /// Work in any second, in microseconds.
+    limit: f64,
+    window: Window,
+}
+
+impl Account {
+    /// This router's part of the limit.
+    pub fn new(limit: f64) -> Self {
+        Account { limit, window: Window::default() }
+    }
+
+    /// Work in any second that may spill.
+    pub fn limit(&self) -> f64 {
+        self.limit
+    }
+
+    /// Counts a send.
+    pub fn spend(&mut self, now: Micros, work: f64) {
+        self.window.add(now, work);
+    }
+
+    /// Work that spilled within the last second.
+    pub fn used(&mut self, now: Micros) -> f64 {
+        self.window.sum(now)
+    }
+
+    /// What may still go now.
+    pub fn credit(&mut self, now: Micros) -> f64 {
+        (self.limit - self.window.sum(now)).max(0.0)
+    }
+}
+
+/// What classes want to spill: sent or turned away for want of room, as a running mean.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    round: BTreeMap<usize, f64>,
+    means: BTreeMap<usize, f64>,
+}
+
+impl Demand {
+    /// A request of this class wanted to spill.
+    pub fn note(&mut self, class: usize, work: f64) {
+        *self.round.entry(class).or_default() += work;
+    }
+
+    /// Ends a round of `ROUND`.
+    pub fn turn(&mut self) {
+        let rate = WINDOW as f64 / ROUND as f64;
+        for (class, work) in std::mem::take(&mut self.round) {
+            *self.means.entry(class).or_default() += GAIN * work * rate;
+        }
+        self.means.values_mut().for_each(|mean| *mean *= 1.0 - GAIN);
+    }
+
+    /// Work wanted in a second, in microseconds.
+    pub fn of(&self, class: usize) -> f64 {
+        self.means.get(&class).copied().unwrap_or(0.0)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn worth_decides_what_goes() {
+        let wish = |work, density| Wish { work, density };
+        let (shares, left) = allot(100.0, &[wish(80.0, 1.0), wish(60.0, 3.0), wish(50.0, 2.0)]);
+        assert_eq!(shares, [0.0, 1.0, 0.8]);
+        assert_eq!(left, 0.0);
+        let (shares, left) = allot(500.0, &[wish(80.0, 1.0), wish(60.0, 3.0)]);
+        assert_eq!((shares, left), (vec![1.0, 1.0], 360.0));
+    }
+
+    #[test]
+    fn nothing_goes_beyond_the_limit_of_any_second() {
+        let mut account = Account::new(1000.0);
+        let (mut now, mut sent) = (5_000_000, Vec::new());
+        for _ in 0..4_000 {
+            now += 3_137;
+            if account.credit(now) >= 70.0 {
+                account.spend(now, 70.0);
+                sent.push(now);
+            }
+        }
+        for (i, from) in sent.iter().enumerate() {
+            let within = sent[i..].iter().take_while(|at| **at < from + WINDOW).count();
+            assert!(within as f64 * 70.0 <= 1000.0, "{within} sends in a second");
+        }
+        assert!(sent.len() > 4_000 * 3_137 / 1_000_000 * 12, "the limit is used: {} sends", sent.len());
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -257,6 +257,39 @@
     pub role: Option<Role>,
 }
 
+/// What planners say of a zone. It only narrows what a router may do: no word makes a member eligible.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ZoneWord {
+    /// Which zone.
+    pub zone: ZoneId,
+    /// Place in this router's order of preference, 0 first. Without any word it is 0 for its own zone, 1 for others.
+    pub tier: u16,
+    /// Its members fail together: all of them count as possibly dead.
+    pub doubted: bool,
+    /// Share of reads that may go there, by a lot that each request draws once.
+    pub share: f64,
+    /// What it may be sent beyond the work that is at home there; none: no limit.
+    pub spill: Option<Spill>,
+}
+
+/// What a zone may be sent of reads that are at home in zones preferred to it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Spill {
+    /// Work that may still go there until the next word, in microseconds.
+    pub credit: f64,
+    /// Share of such reads that may go there, by class.
+    pub shares: Vec<f64>,
+}
+
+/// What planners tell a router: words on zones replace earlier ones on the same, homes too.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Advice {
+    /// Zones.
+    pub zones: Vec<ZoneWord>,
+    /// The tier in which a group's reads are at home: the best in which it usually has members.
+    pub homes: Vec<(GroupId, u16)>,
+}
+
 /// How an attempt or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -345,6 +378,8 @@
     },
     /// What another router heard from members.
     Told(Vec<Word>),
+    /// What planners say of zones.
+    Advice(&'a Advice),
     /// The client is gone; nothing is owed any more.
     HungUp(RequestId),
     /// The timer that the router set is due.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -134,6 +134,8 @@
     news: Vec<Word>,                                  // What is to be told to other routers.
     refused: f64,                                     // Share of attempts of late that got no connection.
     lost: f64, // Share of attempts of late that had no answer, while their members answered others.
+    zones: BTreeMap<ZoneId, ZoneWord>, // What planners say; without a word: own zone first, all others alike.
+    homes: BTreeMap<GroupId, u16>, // The tier in which a group's reads are at home, where planners say it.
     busy: BTreeSet<GroupId>, // Groups that were asked of late or have a line.
     resubscribe_at: Option<Micros>,
 }
@@ -157,6 +159,7 @@
             Event::AttemptEnded(ended) => self.on_outcome(ended, out),
             Event::ProbeEnded { member, outcome, report } => self.on_probe(*member, *outcome, report, out),
             Event::Told(words) => words.iter().for_each(|word| self.on_word(word)),
+            Event::Advice(advice) => self.on_advice(advice, out),
             Event::HungUp(request) => drop(self.held.remove(request)),
             Event::Timer => self.on_tick(out),
         }
@@ -214,6 +217,47 @@
         group.primary = group.primary.filter(|known| !outdated(*known));
     }
 
+    // ---- Planners' words on zones ----
+
+    fn on_advice(&mut self, advice: &Advice, out: &mut Vec<Action>) {
+        let opens = |w: &ZoneWord| self.zones.get(&w.zone).is_none_or(|old| old.doubted && !w.doubted);
+        let opened = advice.zones.iter().any(opens);
+        self.zones.extend(advice.zones.iter().map(|w| (w.zone, w.clone())));
+        self.homes.extend(advice.homes.iter().copied());
+        if opened {
+            self.pump_busy(out);
+        }
+    }
+
+    fn tier(&self, zone: ZoneId) -> u16 {
+        self.zones.get(&zone).map_or(u16::from(zone != self.settings.zone), |word| word.tier)
+    }
+
+    /// Whether a read that is sent there leaves the tier in which its group is at home.
+    fn spills(&self, held: &Held, zone: ZoneId) -> bool {
+        self.homes.get(&held.group).is_some_and(|home| self.tier(zone) > *home)
+    }
+
+    /// Narrows where reads may go: the way back of a zone in steps, and the limit on what spills to others.
+    /// Writes and fresh reads have one member only; the rules' other guards see to these.
+    fn admits(&self, held: &Held, m: &Member) -> bool {
+        let bound =
+            matches!(self.settings.classes[held.class].consistency, Consistency::Write | Consistency::Fresh);
+        let Some(word) = self.zones.get(&m.zone).filter(|_| !bound) else { return true };
+        let lot = share_of(held.lot ^ u64::from(word.zone.0) << 32);
+        let work = self.services[held.class].base;
+        let fits = |s: &Spill| s.credit >= work && s.shares.get(held.class).is_none_or(|share| lot < *share);
+        lot < word.share && (!self.spills(held, m.zone) || word.spill.as_ref().is_none_or(fits))
+    }
+
+    /// Whether planners' words alone keep a read from all members that could serve it: it need not wait then.
+    fn is_shut_out(&self, held: &Held) -> bool {
+        let fit = |m: &&Member| self.is_good(m) && self.may_go(held, m) && !held.tried.contains(&m.id);
+        let (open, shut): (Vec<&Member>, Vec<&Member>) =
+            self.group_members(held.group).filter(fit).partition(|m| self.admits(held, m));
+        held.out.is_none() && open.is_empty() && !shut.is_empty()
+    }
+
     // ---- The members' records ----
 
     /// Takes what a member said of itself; `at` is the time that the evidence speaks of.
@@ -320,9 +364,10 @@
 
     /// Whether nothing speaks against a member; else it is possibly dead, and dropped after some failures.
     fn is_good(&self, m: &Member) -> bool {
+        let doubted = self.zones.get(&m.zone).is_some_and(|word| word.doubted);
         let overdue = |o: &Open| self.now > o.sent + 2 * self.services[o.class].tail() as Micros;
         let doubts = m.open.iter().filter(|o| m.last_answer < o.sent && overdue(o)).count() as u32;
-        m.failures == 0 && m.unanswered + doubts < SILENT
+        !doubted && m.failures == 0 && m.unanswered + doubts < SILENT
     }
 
     /// The last known primary of a group, unless nothing new may go there.
@@ -387,7 +432,7 @@
             let held = &self.held[id];
             let lapsed = held.arrived < self.now && self.is_hopeless(held);
             let chosen = if lapsed { None } else { self.choose(held) };
-            let over = chosen.is_none() && (lapsed || held.spent);
+            let over = chosen.is_none() && (lapsed || held.spent || self.is_shut_out(held));
             chosen.into_iter().for_each(|member| self.send(*id, member, out));
             over.then(|| self.give_up(*id, out));
             chosen.is_none() && !over
@@ -451,7 +496,7 @@
         let any = self.settings.classes[held.class].consistency == Consistency::Any;
         let long = any && self.services[held.class].base > self.bound as f64;
         let lag = |m: &Member| if long { m.heard.saturating_sub(m.position) } else { 0 };
-        let turn = |m: &Member| (u64::MAX - lag(m), m.zone != self.settings.zone, m.last_sent, m.open.len());
+        let turn = |m: &Member| (u64::MAX - lag(m), self.tier(m.zone), m.last_sent, m.open.len());
         among.filter(|m| self.has_room(held, m)).min_by_key(|m| turn(m)).map(|m| m.id)
     }
 
@@ -494,7 +539,7 @@
     /// Rules 1 to 5, as far as they bind a send.
     fn may_send(&self, held: &Held, m: &Member) -> bool {
         let room = self.warmth(m) >= 1.0 || self.cold_room(held, m);
-        held.out.is_none() && room && self.may_go(held, m)
+        held.out.is_none() && room && self.admits(held, m) && self.may_go(held, m)
     }
 
     /// The same for a send that is under way, as far as time and news may have changed it.
@@ -548,6 +593,11 @@
         self.is_write(held.class) && all && m.open.is_empty() || in_window && self.lot(held, m) < share * part
     }
 
+    /// What a request of a class takes when nothing waits, as far as its answers tell, in microseconds.
+    pub fn work(&self, class: usize) -> f64 {
+        self.services.get(class).map_or(0.0, |service| service.base)
+    }
+
     fn is_write(&self, class: usize) -> bool {
         self.settings.classes[class].consistency == Consistency::Write
     }
@@ -568,8 +618,12 @@
 
     fn send(&mut self, id: RequestId, to: MemberId, out: &mut Vec<Action>) {
         let now = self.now;
+        let spills = |zone| self.held.get(&id).is_some_and(|held| self.spills(held, zone));
+        let spilled = self.members.get(&to).map(|m| m.zone).filter(|zone| spills(*zone));
         let (Some(held), Some(m)) = (self.held.get_mut(&id), self.members.get_mut(&to)) else { return };
         let service = &self.services[held.class];
+        let spill = spilled.and_then(|zone| self.zones.get_mut(&zone)?.spill.as_mut());
+        spill.into_iter().for_each(|spill| spill.credit -= service.base);
         let class = &self.settings.classes[held.class];
         let patience = (service.tail() as Micros).max(class.aim / 2) << held.tried.len();
         let useful = class.late_worth > 0.0 && class.effect != Effect::Unsafe;
@@ -658,6 +712,7 @@
         }
         self.groups.values_mut().for_each(|g| g.members.retain(|id| self.members.contains_key(id)));
         self.groups.retain(|_, g| !g.members.is_empty() || !g.line.is_empty());
+        self.homes.retain(|id, _| self.groups.contains_key(id));
     }
 
     /// A read whose replicas' records have run out has them probed, those of its own zone even while others
@@ -666,7 +721,7 @@
         let Consistency::Bounded(bound) = self.settings.classes[held.class].consistency else { return };
         let replicas = self.group_members(held.group).filter(|m| !self.is_primary(m));
         let (fresh, stale): (Vec<&Member>, Vec<&Member>) = replicas.partition(|m| self.is_fresh(held, m));
-        let near = |m: &&Member| m.zone == self.settings.zone;
+        let near = |m: &&Member| self.tier(m.zone) == 0;
         let due = stale.iter().filter(|m| m.heard == 0 || !fresh.iter().any(|f| near(f) || !near(m)));
         // One that lags far needs time to catch up: it is asked less often.
         let pause = |m: &Member| (bound / 2).max(self.now.saturating_sub(m.position) / 4).min(PROBE_PERIOD);
