--- /dev/null
+++ b/crates/emulator/src/network.rs
@@ -0,0 +1,91 @@
+//! The network: delays between zones, and the cuts and losses that are in force.
+
+use beaconshore::interface::Micros;
+
+use crate::draws::Draws;
+
+/// A cut that is in force: which strike made it, and what it takes.
+#[derive(Clone, Debug)]
+struct Cut {
+    strike: usize,
+    from: Vec<usize>,
+    to: Vec<usize>,
+    answers_only: bool,
+}
+
+/// Which way a message goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// From a router to a member or another router.
+    Out,
+    /// A member's answer.
+    Back,
+}
+
+/// Delays and cuts.
+pub struct Network {
+    delays: Vec<Vec<f64>>,
+    jitter: f64,
+    cuts: Vec<Cut>,
+    /// Share of new connections that are lost, by the strikes in force.
+    losses: Vec<(usize, f64)>,
+    draws: Draws,
+}
+
+impl Network {
+    /// All is well.
+    pub fn new(delays: Vec<Vec<f64>>, jitter: f64, draws: Draws) -> Self {
+        Network { delays, jitter, cuts: Vec::new(), losses: Vec::new(), draws }
+    }
+
+    /// The mean delay one way.
+    pub fn mean(&self, a: usize, b: usize) -> f64 {
+        self.delays[a][b]
+    }
+
+    /// A message's delay.
+    pub fn delay(&mut self, a: usize, b: usize) -> Micros {
+        self.draws.around(self.delays[a][b], self.jitter).max(1)
+    }
+
+    /// Whether a message between a router's zone and a member's gets through.
+    pub fn passes(&self, router: usize, member: usize, way: Way) -> bool {
+        let takes = |cut: &&Cut| {
+            let hit = cut.from.contains(&router) && cut.to.contains(&member);
+            hit && router != member && (way == Way::Back || !cut.answers_only)
+        };
+        !self.cuts.iter().any(|cut| takes(&cut))
+    }
+
+    /// Whether a new connection is lost on its way.
+    pub fn loses_connection(&mut self) -> bool {
+        let kept: f64 = self.losses.iter().map(|(_, share)| 1.0 - share).product();
+        !self.losses.is_empty() && self.draws.chance(1.0 - kept)
+    }
+
+    /// Whether a datagram is lost.
+    pub fn loses(&mut self, share: f64) -> bool {
+        share > 0.0 && self.draws.chance(share)
+    }
+
+    /// A time around a mean.
+    pub fn around(&mut self, mean: f64) -> Micros {
+        self.draws.around(mean, self.jitter)
+    }
+
+    /// A cut begins.
+    pub fn cut(&mut self, strike: usize, from: Vec<usize>, to: Vec<usize>, answers_only: bool) {
+        self.cuts.push(Cut { strike, from, to, answers_only });
+    }
+
+    /// Connections begin to be lost.
+    pub fn lose(&mut self, strike: usize, share: f64) {
+        self.losses.push((strike, share));
+    }
+
+    /// What a strike brought ends.
+    pub fn heal(&mut self, strike: usize) {
+        self.cuts.retain(|cut| cut.strike != strike);
+        self.losses.retain(|(s, _)| *s != strike);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/cli.rs
@@ -0,0 +1,157 @@
+//! The command line.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use beaconshore_emulator::{experiment, Brains, Plan};
+use clap::{Parser, Subcommand, ValueEnum};
+
+use crate::plays::{self, Plays};
+use crate::{charts, demo, tables};
+
+/// Most seeds of one run.
+const MOST_SEEDS: u64 = 10_000;
+
+/// Plays experiments on the emulator of a fleet, and writes tables and charts.
+///
+/// Exit codes: 0 every rule was kept by the routers under test, 1 a rule was broken, 2 the input can't be used.
+#[derive(Debug, Parser)]
+#[command(version)]
+pub struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Loses a zone and lets it return, on a built-in fleet; says where its charts are.
+    Demo {
+        /// Folder for tables and charts.
+        #[arg(short, long, default_value = "target/demo")]
+        output: PathBuf,
+    },
+    /// Plays an experiment's file.
+    Run {
+        /// The file, in protobuf text format (schema: proto/experiment.proto).
+        experiment: PathBuf,
+        /// Seeds, one or a range with both ends: 3 or 1..20.
+        #[arg(short, long, default_value = "1..5", value_parser = seeds)]
+        seeds: Seeds,
+        /// Folder for tables and charts.
+        #[arg(short, long)]
+        output: PathBuf,
+        /// Who decides: routers that plan for zones, plain ones, and what they are compared with.
+        #[arg(short, long, value_delimiter = ',', default_values_t = [Kind::Planned, Kind::Plain, Kind::Oracle])]
+        brains: Vec<Kind>,
+        /// Days that are played side by side; 0: one for each core.
+        #[arg(short, long, default_value_t = 0)]
+        jobs: usize,
+    },
+    /// Reads an experiment's file and says what it holds.
+    Check {
+        /// The file.
+        experiment: PathBuf,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum Kind {
+    Planned,
+    Plain,
+    Primaries,
+    Random,
+    Oracle,
+}
+
+impl std::fmt::Display for Kind {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(Brains::from(*self).name())
+    }
+}
+
+impl From<Kind> for Brains {
+    fn from(kind: Kind) -> Brains {
+        match kind {
+            Kind::Planned => Brains::Planned,
+            Kind::Plain => Brains::Plain,
+            Kind::Primaries => Brains::Primaries,
+            Kind::Random => Brains::Random,
+            Kind::Oracle => Brains::Oracle,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Seeds(u64, u64);
+
+fn seeds(text: &str) -> Result<Seeds, String> {
+    let number = |t: &str| t.trim_start_matches('=').parse::<u64>().map_err(|e| format!("{t:?}: {e}"));
+    let (first, last) = match text.split_once("..") {
+        Some((first, last)) => (number(first)?, number(last)?),
+        None => (number(text)?, number(text)?),
+    };
+    if first > last || last - first >= MOST_SEEDS {
+        return Err(format!("from {first} to {last}: at least one seed, {MOST_SEEDS} at most"));
+    }
+    Ok(Seeds(first, last))
+}
+
+/// What a run says of the rules.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The routers under test kept all of them.
+    Kept,
+    /// One was broken.
+    Broken,
+}
+
+impl Arguments {
+    /// Does what was asked.
+    pub fn run(self) -> Result<Verdict, String> {
+        match self.command {
+            Command::Demo { output } => demo::run(&output),
+            Command::Check { experiment } => {
+                let plan = read(&experiment)?;
+                println!(
+                    "{}: {} s, {} zones, {} members in {} groups, {} routers, {} faults",
+                    plan.name,
+                    plan.seconds(),
+                    plan.zones.len(),
+                    plan.member_count(),
+                    plan.groups.members.len(),
+                    plan.settings.routers,
+                    plan.strikes.len()
+                );
+                Ok(Verdict::Kept)
+            }
+            Command::Run { experiment, seeds: Seeds(first, last), output, brains, jobs } => {
+                let plan = read(&experiment)?;
+                let brains: Vec<Brains> = brains.into_iter().map(Brains::from).collect();
+                let seeds: Vec<u64> = (first..=last).collect();
+                let plays = plays::play_all(&plan, &brains, &seeds, jobs);
+                write(&plan, &plays, &output)
+            }
+        }
+    }
+}
+
+fn read(path: &Path) -> Result<Plan, String> {
+    let file = path.display().to_string();
+    let text = fs::read_to_string(path).map_err(|e| format!("{file}: {e}"))?;
+    experiment::read(&file, &text).map_err(|e| e.to_string())
+}
+
+/// Writes tables and charts, and says in a few lines what they hold.
+pub fn write(plan: &Plan, plays: &Plays, output: &Path) -> Result<Verdict, String> {
+    let at = |e: &dyn std::fmt::Display| format!("{}: {e}", output.display());
+    fs::create_dir_all(output).map_err(|e| at(&e))?;
+    tables::write(plan, plays, output).map_err(|e| at(&e))?;
+    charts::draw(plan, plays, output).map_err(|e| at(&*e))?;
+    print!("{}", tables::summary(plan, plays));
+    println!("tables and charts: {}", output.display());
+    let under_test = |b: &Brains| matches!(b, Brains::Planned | Brains::Plain);
+    // Where routers that plan are played, plain ones are what they are compared with.
+    let tested = plays.brains().into_iter().find(under_test);
+    let broken = tested.is_some_and(|b| plays.of(b).any(|day| !day.breaches.is_empty()));
+    Ok(if broken { Verdict::Broken } else { Verdict::Kept })
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,9 @@
+//! Experiments on the emulator: plays a file over many seeds and kinds of routers, and writes what came of it as
+//! tables and charts. Owns arguments, the order of plays, tables, charts; it models nothing and decides nothing.
+
+pub mod charts;
+pub mod cli;
+pub mod demo;
+pub mod measures;
+pub mod plays;
+pub mod tables;
--- a/crates/zones/src/evidence.rs
+++ b/crates/zones/src/evidence.rs
@@ -252,7 +252,8 @@
             let overdue = LEAST_OVERDUE.max((OVERDUE * self.usual(record.zone)) as Micros);
             if let Some(since) = record.fails_since(overdue, now) {
                 zone.failing += 1;
-                zone.heard_elsewhere += usize::from(record.told > since);
+                // What was on its way when the failure began proves nothing.
+                zone.heard_elsewhere += usize::from(record.told > since + silence);
             } else if now <= record.answered + silence.max(overdue) {
                 zone.answering += 1;
                 zone.youngest = zone.youngest.max(record.started);
--- a/crates/zones/src/planner.rs
+++ b/crates/zones/src/planner.rs
@@ -22,6 +22,8 @@
 const PROBE_PAUSE: Micros = 500_000;
 /// So many such probes go out in a round at most, whatever the size of the zone.
 const PROBES: usize = 4;
+/// The router's figure for a request's work is the least that its mean has been; the mean is about this much more.
+const MEAN: f64 = 1.2;
 /// Requests that are followed at once; of further ones it is not known what they wanted to spill.
 const MOST_REQUESTS: usize = 65_536;
 
@@ -216,7 +218,7 @@
                     let Some((class, group)) = self.requests.remove(request) else { continue };
                     // What is turned away while its home is not whole would have spilled.
                     if self.is_read(class) && !self.is_home_well(group) {
-                        self.demand.note(class, work(class));
+                        self.demand.note(class, MEAN * work(class));
                     }
                 }
                 Action::Probe(member) => self.evidence.on_probe(*member, now),
@@ -238,9 +240,9 @@
         if !self.is_read(class) || home.zip(tier).is_none_or(|(home, tier)| tier <= home) {
             return;
         }
-        self.demand.note(class, work(class));
+        self.demand.note(class, MEAN * work(class));
         if let Some(account) = self.zones.get_mut(&to).and_then(|z| z.account.as_mut()) {
-            account.spend(now, work(class));
+            account.spend(now, MEAN * work(class));
         }
     }
 
@@ -348,7 +350,7 @@
             let rules = &self.view.settings.rules;
             let share = zone.state.ramp().map_or(1.0, |ramp| ramp.share(&zone.seen, rules, now));
             let spill = zone.account.as_mut().map(|account| {
-                let credit = account.credit(now);
+                let credit = account.credit(now) / MEAN;
                 if doubted {
                     return Spill { credit, shares: vec![1.0; wishes.len()] };
                 }
