Routers lend each other parts of the spill limit; reads have their home with replicas

Need: an equal part of the limit for each router leaves most of it idle, and reads that leave a zone as usual (its member is the primary, which the design offloads) used up the limit on what spills. Change: zones/lend.rs (asks, loans with a term, kept back a second beyond it), Event::Talk and Action::Talk for planners; a group is at home in the best tier with a replica. Oracles and baselines now heed what the list told their router.

--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -328,8 +328,8 @@
         Action::SetTimer(after) => {
             reply.record(code::SCHEDULE, &[&driver_bytes, &micros(*after), &0u32.to_le_bytes()]);
         }
-        // There, members stay known.
-        Action::Forget(_) => {}
+        // There, members stay known, and no planner runs.
+        Action::Forget(_) | Action::Talk(_) => {}
         Action::Subscribe => reply.record(code::FOLLOW, &[&driver_bytes, &[1]]),
         Action::Log(text) => text_record(reply, code::PRINT, driver, text),
     }
--- a/crates/driver/src/module.rs
+++ b/crates/driver/src/module.rs
@@ -411,6 +411,7 @@
             Action::Probe(member) => self.mail_member(member, MemberMail::Probe),
             Action::Forget(member) => self.forget(member),
             Action::Tell(words) => self.tell(&words),
+            Action::Talk(_) => {}
             Action::SetTimer(after) => {
                 self.due = Some(self.node.clock.instant(now + after));
                 self.node.pulse.expect(now, now + after);
--- a/crates/emulator/src/member.rs
+++ b/crates/emulator/src/member.rs
@@ -238,6 +238,7 @@
         self.running.fill(None);
         self.waiting.clear();
         self.came.clear();
+        self.came_sum = 0.0;
     }
 
     /// It starts, cold.
@@ -254,3 +255,72 @@
         self.health == Health::Up && !self.fallen
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::log::Log;
+    use crate::plan::SECOND;
+
+    const RULES: RuleFigures = RuleFigures {
+        ask_within: 0,
+        only_draining_binds: false,
+        cold_share: 0.2,
+        warm_within: 10 * SECOND,
+        fall_multiple: 2.0,
+        fall_window: SECOND,
+    };
+
+    fn member() -> Member {
+        let plan = MemberPlan {
+            cores: 2,
+            queue: 100,
+            speed_spread: 0.0,
+            connections: 10,
+            idle: SECOND,
+            handshake: 0.0,
+            probe: 0.0,
+            drops_cancelled: true,
+            report: SECOND,
+        };
+        Member::new(0, 0, 1.0, &plan, Applied::all(&Log::default(), 0), 0)
+    }
+
+    fn job(work: f64) -> Job {
+        Job { request: RequestId(1), token: 1, router: 0, epoch: 1, class: 0, work, sent: 0 }
+    }
+
+    /// Whether it falls over while it gets some work every 100 ms for 3 s after a start.
+    fn falls(member: &mut Member, start: Micros, work: f64) -> bool {
+        (0..30).any(|i| {
+            let now = start + i * SECOND / 10;
+            member.receive(job(work), &RULES, now);
+            member.is_pushed_over(&RULES, now)
+        })
+    }
+
+    #[test]
+    fn a_cold_member_bears_twice_what_it_can_do_and_a_warm_one_anything() {
+        // Two cores at a fifth: 0.4 s of work in a second, twice that is borne.
+        let mut warm = member();
+        assert!(!falls(&mut warm, SECOND, 500_000.0));
+        warm.stop(Health::Refusing, 5 * SECOND);
+        warm.start(6 * SECOND);
+        assert!(!falls(&mut warm, 6 * SECOND, 75_000.0), "what came before it stopped is not counted");
+        warm.start(20 * SECOND);
+        assert!(falls(&mut warm, 20 * SECOND, 150_000.0));
+    }
+
+    #[test]
+    fn cold_work_takes_longer_and_the_line_goes_on() {
+        let mut member = member();
+        member.start(0);
+        assert_eq!(member.receive(job(1_000.0), &RULES, 0), Received::Runs(0, 5_000));
+        assert_eq!(member.receive(job(1_000.0), &RULES, 0), Received::Runs(1, 5_000));
+        assert_eq!(member.receive(job(2_000.0), &RULES, 0), Received::Waits);
+        let (done, next) = member.finish(0, &RULES, 5_000);
+        assert!(done.is_some() && next.is_some_and(|ends| ends > 14_000));
+        member.cancel(1);
+        assert_eq!(member.finish(1, &RULES, 5_000).1, None, "what waited was given up");
+    }
+}
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -4,9 +4,10 @@
 
 use beaconshore::interface::{
     Action, Consistency, Ended, Entry, Event, GroupId, ListKind, Listed, MemberId, Micros, Note, Outcome,
-    Report, Request, RequestId, Role, SessionId, Settings, Word, ZoneId,
+    Report, Request, RequestId, Role, SessionId, Settings, Talk, Word, ZoneId,
 };
 use beaconshore_steering::Steering;
+use beaconshore_zones::Policy;
 
 use crate::audit::Audit;
 use crate::baseline::{choose, Brains, Sight};
@@ -68,6 +69,7 @@
     News(Process, Box<Entry>, u64),
     Relist(Process),
     Words(Process, Vec<Word>),
+    Talk(Process, u32, Vec<Talk>),
     Reset(Process, usize, u32),
     Strike(usize),
     Heal(usize, Vec<usize>),
@@ -237,6 +239,7 @@
             Ev::News(p, entry, version) => self.at_router(p, Ev::News(p, entry, version)),
             Ev::Relist(p) => self.at_router(p, Ev::Relist(p)),
             Ev::Words(p, words) => self.at_router(p, Ev::Words(p, words)),
+            Ev::Talk(p, from, talks) => self.at_router(p, Ev::Talk(p, from, talks)),
             Ev::Reset(p, m, e) => self.at_router(p, Ev::Reset(p, m, e)),
             Ev::AtMember(job, epoch) => self.at_member(job, epoch),
             Ev::Done(member, epoch, slot) => self.done(member, epoch, slot),
@@ -396,6 +399,7 @@
                 self.news(router, ListKind::Full, &entries);
             }
             Ev::Words(_, words) => self.tell(router, &Event::Told(words)),
+            Ev::Talk(_, from, talks) => self.tell(router, &Event::Talk(from, talks)),
             Ev::Reset(_, member, epoch) => self.reset(router, member, epoch),
             _ => {}
         }
@@ -411,7 +415,9 @@
         process.open.clear();
         let settings = Settings { zone: ZoneId(process.zone as u16), ..self.plan.settings.clone() };
         let policy = match self.brains {
-            Brains::Planned => Some(self.plan.policy.clone()),
+            Brains::Planned => {
+                Some(self.plan.policy.clone().map(|p| Policy { number: Some(router as u32), ..p }))
+            }
             Brains::Plain => Some(None),
             _ => None,
         };
@@ -480,7 +486,8 @@
             }
             Action::Probe(member) => self.probe(process, member.0 as usize),
             Action::Forget(_) | Action::Subscribe => {}
-            Action::Tell(words) => self.tell_peers(router, &words),
+            Action::Tell(words) => self.tell_peers(router, |p| Ev::Words(p, words.clone())),
+            Action::Talk(talks) => self.tell_peers(router, |p| Ev::Talk(p, router as u32, talks.clone())),
             Action::SetTimer(after) => self.queue.after(after, Ev::Timer(process)),
             Action::Log(line) => self.day.lines.push((now - DAWN, router, line)),
         }
@@ -863,7 +870,7 @@
         self.queue.after(back, Ev::Probed(process, member, Some(Box::new(told.report))));
     }
 
-    fn tell_peers(&mut self, router: usize, words: &[Word]) {
+    fn tell_peers(&mut self, router: usize, message: impl Fn(Process) -> Ev) {
         if !self.plan.routers.peers {
             return;
         }
@@ -875,7 +882,7 @@
             }
             let delay = self.network.around(self.plan.routers.peer_delay);
             let process = (other, self.routers[other].epoch);
-            self.queue.after(delay, Ev::Words(process, words.to_vec()));
+            self.queue.after(delay, message(process));
         }
     }
 
@@ -898,12 +905,14 @@
             let capacity = m.capacity(rules, now);
             let reachable =
                 self.network.passes(zone, m.zone, Way::Out) && self.network.passes(zone, m.zone, Way::Back);
+            let known = self.routers[router].known.get(*member);
+            let listed = known.is_some_and(|e| e.listed == Listed::Ready);
             let alone = plan.work * self.plan.members.cores as f64;
             sights.push(Sight {
                 member: *member,
                 primary: self.primaries[m.group].0 == Some(*member),
                 near: m.zone == zone,
-                usable: reachable && m.is_up() && !m.draining,
+                usable: reachable && m.is_up() && !m.draining && listed,
                 fresh: match plan.class.consistency {
                     Consistency::Bounded(bound) => position + bound > now,
                     Consistency::Session => position >= open.floor,
@@ -934,7 +943,7 @@
 
     // ---- The measure of spill, and of load ----
 
-    /// A read sent away from a router's zone though its group has a member there is spilled.
+    /// A read sent away from a router's zone though its group has a replica there is spilled.
     fn count_spill(&mut self, router: usize, request: RequestId, member: usize) {
         let now = self.now();
         let (from, to) = (self.routers[router].zone, self.members[member].zone);
@@ -942,7 +951,10 @@
         let Some(story) = open.and_then(|open| self.stories.get(&open.story)) else { return };
         let class = &self.plan.classes[story.class];
         let bound = matches!(class.class.consistency, Consistency::Write | Consistency::Fresh);
-        let at_home = self.plan.groups.members[story.group].contains(&from);
+        // Reads have their home with replicas: a router beside the primary alone sends them elsewhere as usual.
+        let primary = self.primaries[story.group].0;
+        let replica = |m: &&usize| self.members[**m].zone == from && Some(**m) != primary;
+        let at_home = self.groups[story.group].iter().any(|m| replica(&m));
         if bound || from == to || !at_home {
             return;
         }
--- a/crates/operator/src/zones.rs
+++ b/crates/operator/src/zones.rs
@@ -35,6 +35,7 @@
     }
     let micros = |ms: Option<u64>, default| ms.map_or(default, |ms| ms.saturating_mul(1000));
     let policy = Policy {
+        number: None,
         zones: stated,
         spill_share: zones.spill_share.unwrap_or(defaults.spill_share),
         quorum: zones.quorum.unwrap_or(defaults.quorum),
--- a/crates/zones/src/lib.rs
+++ b/crates/zones/src/lib.rs
@@ -5,9 +5,10 @@
 //!
 //! In the order of a zone's life: [`policy`] is what operators say, [`evidence`] collects what members and peers
 //! told, [`state`] turns it into one state for each zone, [`ramp`] leads a returning zone back in steps,
-//! [`window`] and [`spill`] hold the limit on work from elsewhere, and [`planner`] puts these together.
+//! [`window`], [`spill`] and [`lend`] hold the limit on work from elsewhere, and [`planner`] puts these together.
 
 pub mod evidence;
+pub mod lend;
 pub mod planner;
 pub mod policy;
 pub mod ramp;
--- a/crates/zones/src/planner.rs
+++ b/crates/zones/src/planner.rs
@@ -5,7 +5,7 @@
 
 use beaconshore::interface::{
     Action, Advice, Consistency, Entry, Event, GroupId, ListKind, Listed, MemberId, Micros, Outcome,
-    RequestId, Settings, Spill, ZoneId, ZoneWord,
+    RequestId, Role, Settings, Spill, Talk, ZoneId, ZoneWord,
 };
 
 use crate::evidence::{Assessment, Evidence, Verdict};
@@ -23,7 +23,13 @@
 /// So many such probes go out in a round at most, whatever the size of the zone.
 const PROBES: usize = 4;
 /// The router's figure for a request's work is the least that its mean has been; the mean is about this much more.
-const MEAN: f64 = 1.2;
+const MEAN: f64 = 1.15;
+/// Other routers are asked for parts of their limits this often at most, in microseconds.
+const ASK_PAUSE: Micros = 250_000;
+/// Times what wants to spill: limits are to have room for what comes unevenly.
+const ASK_AHEAD: f64 = 1.4;
+/// Talks that may wait to be sent; others ask again.
+const MOST_TALKS: usize = 64;
 /// Requests that are followed at once; of further ones it is not known what they wanted to spill.
 const MOST_REQUESTS: usize = 65_536;
 
@@ -89,13 +95,17 @@
     tiers: Tiers,
     zones: BTreeMap<ZoneId, Zone>,
     /// Where groups have members, and until when that counts.
-    homes: BTreeMap<GroupId, BTreeMap<ZoneId, Micros>>,
+    homes: BTreeMap<GroupId, BTreeMap<MemberId, (ZoneId, Micros)>>,
+    /// The members that last said to be primaries: reads have their home with replicas, which offload these.
+    primaries: BTreeMap<GroupId, MemberId>,
     told_homes: BTreeMap<GroupId, u16>,
     told: BTreeMap<ZoneId, ZoneWord>,
     requests: BTreeMap<RequestId, (usize, GroupId)>,
     demand: Demand,
     probed: BTreeMap<MemberId, Micros>,
     round_at: Micros,
+    asked: Micros,
+    talks: Vec<Talk>,
     changes: Vec<(ZoneId, Change)>,
 }
 
@@ -114,12 +124,15 @@
             tiers: Tiers::default(),
             zones: BTreeMap::new(),
             homes: BTreeMap::new(),
+            primaries: BTreeMap::new(),
             told_homes: BTreeMap::new(),
             told: BTreeMap::new(),
             requests: BTreeMap::new(),
             demand: Demand::default(),
             probed: BTreeMap::new(),
             round_at: now,
+            asked: 0,
+            talks: Vec::new(),
             changes: Vec::new(),
         }
     }
@@ -151,6 +164,7 @@
                 self.evidence.on_said(ended.member, ended.report.position, utilization, now);
                 let commit = ended.outcome == Outcome::Served && self.is_write(ended.request);
                 let position = ended.note.position.filter(|_| !commit);
+                self.on_role(ended.member, ended.note.role);
                 self.evidence.on_said(ended.member, position, None, now);
                 if ended.finished {
                     self.requests.remove(&ended.request);
@@ -161,6 +175,7 @@
                     self.tiers.sample(zone, took);
                 }
                 if *outcome == Outcome::Served {
+                    self.on_role(*member, report.role);
                     self.evidence.on_said(*member, report.position, report.utilization, now);
                 }
             }
@@ -168,10 +183,56 @@
                 words.iter().for_each(|w| self.evidence.on_word(w.member, w.position, now));
             }
             Event::HungUp(request) => drop(self.requests.remove(request)),
+            Event::Talk(from, talks) => self.on_talk(*from, talks, now),
             Event::Request(_) | Event::Advice(_) | Event::Timer => {}
         }
     }
 
+    fn on_role(&mut self, member: MemberId, role: Option<Role>) {
+        if let Some(record) = self.evidence.record(member).filter(|_| role == Some(Role::Primary)) {
+            self.primaries.insert(record.group, member);
+        }
+    }
+
+    /// Another router asks for a part of a limit, or lends one.
+    fn on_talk(&mut self, from: u32, talks: &[Talk], now: Micros) {
+        let Some(number) = self.policy.number.filter(|number| *number != from) else { return };
+        for talk in talks {
+            let account = self.zones.get_mut(&talk.zone).and_then(|z| z.account.as_mut());
+            let Some(account) = account else { continue };
+            match talk.to {
+                Some(to) if to == number => account.borrow(from, talk.work, talk.until, now),
+                Some(_) => {}
+                None => {
+                    let lent = account.lend(from, talk.work, now);
+                    let talk = |(work, until)| Talk { zone: talk.zone, to: Some(from), work, until };
+                    self.talks.extend(lent.map(talk));
+                }
+            }
+        }
+        self.talks.truncate(MOST_TALKS);
+    }
+
+    /// Asks the others for a part of their limits, where more wants to spill than this router's own allow.
+    fn ask(&mut self, now: Micros) {
+        if self.policy.number.is_none() || now < self.asked + ASK_PAUSE {
+            return;
+        }
+        self.asked = now;
+        let wanted = ASK_AHEAD * self.demand.sum();
+        let open = |z: &Zone| !z.state.is_doubted() && z.account.is_some();
+        let limits = self.zones.values().filter(|z| open(z)).filter_map(|z| z.account.as_ref());
+        // Without what is borrowed: that is renewed for as long as it is needed.
+        let (count, own) = limits.fold((0.0, 0.0), |(n, sum), a| (n + 1.0, sum + a.own(now)));
+        if count == 0.0 || wanted <= own {
+            return;
+        }
+        let work = (wanted - own) / count;
+        let needs = self.zones.iter().filter(|(_, z)| open(z));
+        let talk = |zone: ZoneId| Talk { zone, to: None, work, until: now };
+        self.talks.extend(needs.map(|(zone, _)| talk(*zone)));
+    }
+
     fn is_write(&self, request: RequestId) -> bool {
         let class = self.requests.get(&request).and_then(|(class, _)| self.view.settings.classes.get(*class));
         class.is_some_and(|c| c.consistency == Consistency::Write)
@@ -188,7 +249,11 @@
         for entry in entries {
             self.evidence.on_entry(entry);
             if entry.listed != Listed::Gone {
-                self.homes.entry(entry.group).or_default().insert(entry.zone, now + HOME_MEMORY);
+                let place = (entry.zone, now + HOME_MEMORY);
+                self.homes.entry(entry.group).or_default().insert(entry.member, place);
+            }
+            if entry.primary {
+                self.primaries.entry(entry.group).or_insert(entry.member);
             }
             // A router that has forgotten a group needs to be told of it again.
             self.told_homes.remove(&entry.group);
@@ -260,27 +325,37 @@
 
     // ---- What it says ----
 
-    /// What is new for the router, and probes that are due: a round every 50 ms, and what is left of the limits
+    /// What is new for the router, and what else is due (probes, talk with other routers): a round every 50 ms, and what is left of the limits
     /// whenever it is asked.
     pub fn advise(&mut self, now: Micros) -> (Option<Advice>, Vec<Action>) {
-        let mut probes = Vec::new();
+        let mut due = Vec::new();
         if now >= self.round_at {
             self.round_at = now + ROUND;
             self.look(now);
-            probes = self.due_probes(now);
+            self.ask(now);
+            due = self.due_probes(now);
+        }
+        if !self.talks.is_empty() {
+            due.push(Action::Talk(std::mem::take(&mut self.talks)));
         }
         let order: Vec<ZoneId> =
             self.tiers.order(self.view.zone, self.zones.keys().copied(), &self.policy).to_vec();
         let mut advice = Advice { zones: self.words(&order, now), homes: Vec::new() };
         advice.zones.retain(|word| self.told.get(&word.zone) != Some(word));
         self.told.extend(advice.zones.iter().map(|w| (w.zone, w.clone())));
-        self.homes.retain(|_, zones| {
-            zones.retain(|_, until| *until > now);
-            !zones.is_empty()
+        self.homes.retain(|_, members| {
+            members.retain(|_, (_, until)| *until > now);
+            !members.is_empty()
         });
-        for (group, zones) in &self.homes {
+        self.primaries.retain(|group, _| self.homes.contains_key(group));
+        for (group, members) in &self.homes {
             let tier = |zone: &ZoneId| order.iter().position(|z| z == zone).map(|tier| tier as u16);
-            let home = zones.keys().filter_map(tier).min();
+            let best = |all: bool| {
+                let primary = self.primaries.get(group).filter(|_| !all);
+                let places = members.iter().filter(|(member, _)| primary != Some(*member));
+                places.filter_map(|(_, (zone, _))| tier(zone)).min()
+            };
+            let home = best(false).or_else(|| best(true));
             if let Some(home) = home.filter(|home| self.told_homes.get(group) != Some(home)) {
                 advice.homes.push((*group, home));
             }
@@ -288,7 +363,7 @@
         self.told_homes.extend(advice.homes.iter().copied());
         self.told_homes.retain(|group, _| self.homes.contains_key(group));
         let empty = advice.zones.is_empty() && advice.homes.is_empty();
-        ((!empty).then_some(advice), probes)
+        ((!empty).then_some(advice), due)
     }
 
     fn look(&mut self, now: Micros) {
@@ -355,7 +430,7 @@
                     return Spill { credit, shares: vec![1.0; wishes.len()] };
                 }
                 // A little more than the mean demand allows: the window is what binds, shares only sort.
-                let (shares, _) = allot(account.limit(), &wishes);
+                let (shares, _) = allot(account.limit(now), &wishes);
                 wishes.iter_mut().zip(&shares).for_each(|(wish, share)| wish.work *= 1.0 - share);
                 // In steps, so that the router is told of changes only.
                 let shares = shares.into_iter().map(|s| (s * 50.0).ceil() / 50.0).collect();
@@ -422,7 +497,7 @@
                 step: zone.state.ramp().map(|ramp| ramp.step()),
                 share: told.map_or(1.0, |w| w.share),
                 spilled: zone.account.as_mut().map_or(0.0, |a| a.used(now)),
-                spill_limit: zone.account.as_ref().map(Account::limit),
+                spill_limit: zone.account.as_ref().map(|a| a.limit(now)),
                 turned: zone.state.turned(),
             });
         }
--- a/crates/zones/src/policy.rs
+++ b/crates/zones/src/policy.rs
@@ -25,6 +25,8 @@
 /// All that operators say of zones.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Policy {
+    /// This router's number among those that it may talk to, from 0; none: limits are not lent.
+    pub number: Option<u32>,
     /// Zones; one that is not named has no limit, and is preferred by its round trips.
     pub zones: Vec<ZonePolicy>,
     /// Share of a zone's capacity that reads from other zones may take, over all routers.
@@ -52,6 +54,7 @@
 impl Default for Policy {
     fn default() -> Self {
         Policy {
+            number: None,
             zones: Vec::new(),
             spill_share: 0.5,
             quorum: 0.75,
--- a/crates/zones/src/ramp.rs
+++ b/crates/zones/src/ramp.rs
@@ -15,6 +15,8 @@
 const FRESH: f64 = 0.5;
 /// A zone this busy has no room for a further step.
 const BUSY: f64 = 0.9;
+/// A step of next to no share needs this part of the proof that the last one needs: little is at stake there.
+const LEAST_PROOF: f64 = 0.25;
 /// A router with little traffic goes on after so many stays, with one answer and no failure.
 const SPARSE_STAYS: u32 = 8;
 
@@ -103,6 +105,8 @@
         let stay = policy.dwell << (self.doublings + self.fallen).min(policy.most_doublings);
         let Proof { answers, failures, took } = self.proof;
         let all = answers + failures;
+        let stake = LEAST_PROOF + (1.0 - LEAST_PROOF) * STEPS[self.step];
+        let proven = f64::from(answers) >= stake * f64::from(policy.proof);
         if all >= policy.proof.max(2) && f64::from(failures) > policy.failures * f64::from(all) {
             return self.fall(Reason::Failures, zone, policy, now);
         }
@@ -123,7 +127,7 @@
             };
         }
         let sparse = now >= self.since + stay * Micros::from(SPARSE_STAYS) && answers > 0 && failures == 0;
-        if zone.utilization > BUSY || !(answers >= policy.proof || sparse) {
+        if zone.utilization > BUSY || !(proven || sparse) {
             return Move::Stay;
         }
         self.fallen = 0;
--- a/crates/zones/src/spill.rs
+++ b/crates/zones/src/spill.rs
@@ -4,6 +4,7 @@
 
 use beaconshore::interface::Micros;
 
+use crate::lend::Part;
 use crate::window::{Window, WINDOW};
 
 /// Weight of a round's demand in the mean; rounds come every `ROUND`.
@@ -38,20 +39,36 @@
 /// Work that spilled into a zone, against its limit.
 #[derive(Clone, Debug)]
 pub struct Account {
-    /// Work in any second, in microseconds.
-    limit: f64,
+    /// Work in any second: this router's part, with what is lent and borrowed.
+    part: Part,
     window: Window,
 }
 
 impl Account {
     /// This router's part of the limit.
     pub fn new(limit: f64) -> Self {
-        Account { limit, window: Window::default() }
+        Account { part: Part::new(limit), window: Window::default() }
     }
 
     /// Work in any second that may spill.
-    pub fn limit(&self) -> f64 {
-        self.limit
+    pub fn limit(&self, now: Micros) -> f64 {
+        self.part.limit(now)
+    }
+
+    /// The same without what is borrowed.
+    pub fn own(&self, now: Micros) -> f64 {
+        self.part.own(now)
+    }
+
+    /// Lends a part to a router that asks for so much.
+    pub fn lend(&mut self, to: u32, need: f64, now: Micros) -> Option<(f64, Micros)> {
+        let used = self.window.sum(now);
+        self.part.lend(to, need, used, now)
+    }
+
+    /// Takes a loan.
+    pub fn borrow(&mut self, from: u32, work: f64, until: Micros, now: Micros) {
+        self.part.borrow(from, work, until, now);
     }
 
     /// Counts a send.
@@ -66,7 +83,7 @@
 
     /// What may still go now.
     pub fn credit(&mut self, now: Micros) -> f64 {
-        (self.limit - self.window.sum(now)).max(0.0)
+        (self.part.limit(now) - self.window.sum(now)).max(0.0)
     }
 }
 
@@ -92,6 +109,11 @@
         self.means.values_mut().for_each(|mean| *mean *= 1.0 - GAIN);
     }
 
+    /// Work wanted in a second over all classes, in microseconds.
+    pub fn sum(&self) -> f64 {
+        self.means.values().sum()
+    }
+
     /// Work wanted in a second, in microseconds.
     pub fn of(&self, class: usize) -> f64 {
         self.means.get(&class).copied().unwrap_or(0.0)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -290,6 +290,19 @@
     pub homes: Vec<(GroupId, u16)>,
 }
 
+/// What planners of routers tell each other of the limits that they share.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Talk {
+    /// Whose limit.
+    pub zone: ZoneId,
+    /// The router that this is lent to, by its number; none: this router asks for it.
+    pub to: Option<u32>,
+    /// Work in any second, in microseconds.
+    pub work: f64,
+    /// Until then.
+    pub until: Micros,
+}
+
 /// How an attempt or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -380,6 +393,8 @@
     Told(Vec<Word>),
     /// What planners say of zones.
     Advice(&'a Advice),
+    /// What the planner of another router, by its number, tells those here.
+    Talk(u32, Vec<Talk>),
     /// The client is gone; nothing is owed any more.
     HungUp(RequestId),
     /// The timer that the router set is due.
@@ -415,6 +430,8 @@
     Forget(MemberId),
     /// Tell all other routers what members said.
     Tell(Vec<Word>),
+    /// Tell all other routers what planners have to say; it may be lost.
+    Talk(Vec<Talk>),
     /// Wake the router after this time.
     SetTimer(Micros),
     /// Subscribe to the list.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -161,6 +161,7 @@
             Event::Told(words) => words.iter().for_each(|word| self.on_word(word)),
             Event::Advice(advice) => self.on_advice(advice, out),
             Event::HungUp(request) => drop(self.held.remove(request)),
+            Event::Talk(..) => {}
             Event::Timer => self.on_tick(out),
         }
     }
