The driver plans for zones where an operator's file asks, and shows how each stands

Change: BEACONSHORE_OPERATOR names a file in protobuf text format (deploy/operator.textproto shows every field); what can't be meant ends the start with file, line, column and remedy. Planners of drivers talk in datagrams of their own version. A request's lot at a returning zone is the one by which cold and silent members are tried: two lots multiplied the shares, a member that had been silent was tried by 2 % of 2 %.

--- a/crates/driver/src/config.rs
+++ b/crates/driver/src/config.rs
@@ -1,9 +1,12 @@
-//! What a driver is told at start: a few environment variables, and a JSON file that holds the rest.
+//! What a driver is told at start: a few environment variables, a JSON file that holds the rest, and, where one is
+//! named, an operator's file.
 
 use std::net::SocketAddr;
 use std::{env, fs};
 
+use beaconshore_operator::parse;
 use beaconshore_settings::Site;
+use beaconshore_zones::Policy;
 use serde::Deserialize;
 
 use crate::listing::Listing;
@@ -38,6 +41,9 @@
     pub known: Listing,
     /// The settings of the decision module, and what belongs to them.
     pub settings: Site,
+    /// What the operator's file says of zones; none: nothing is planned for them.
+    #[serde(skip)]
+    pub zones: Option<Policy>,
 }
 
 /// What the machine allows.
@@ -72,9 +78,25 @@
         let mut config = Config::parse(&text).map_err(|e| format!("configuration {path}: {e}"))?;
         config.name = variable("RELAY_NAME").unwrap_or(config.name);
         config.listen = address("RELAY_LISTEN")?.unwrap_or(config.listen);
+        if let Some(path) = variable("BEACONSHORE_OPERATOR") {
+            let text = fs::read_to_string(&path).map_err(|e| format!("operator's file {path}: {e}"))?;
+            config.zones = config.operator(&path, &text).map_err(|e| format!("operator's file {e}"))?;
+        }
         Ok(config)
     }
 
+    /// What an operator's file says of zones, for this driver.
+    pub fn operator(&self, file: &str, text: &str) -> Result<Option<Policy>, String> {
+        let operator = parse(file, text).map_err(|e| e.to_string())?;
+        let Some(zones) = operator.zones else { return Ok(None) };
+        let names = &self.settings.dialect.zones;
+        let policy = beaconshore_operator::zones(file, text, &zones, names).map_err(|e| e.to_string())?;
+        // Drivers are numbered as in the list of peers; one that is not in it, or may not talk, lends nothing.
+        let talks = self.settings.settings.limits.peer_messages;
+        let number = self.peers.iter().position(|peer| Some(*peer) == self.peer_listen);
+        Ok(Some(Policy { number: number.filter(|_| talks).map(|n| n as u32), ..policy }))
+    }
+
     /// What another configuration changes that only a new start brings about.
     pub fn needs_restart(&self, other: &Config) -> Vec<&'static str> {
         let peers = |c: &Config| (c.peer_listen, c.peers.clone(), c.peers_all);
@@ -84,6 +106,7 @@
             ("limits", self.limits != other.limits),
             ("peers", peers(self) != peers(other)),
             ("settings", self.settings != other.settings),
+            ("the operator's zones", self.zones != other.zones),
         ];
         changes.into_iter().filter(|(_, changed)| *changed).map(|(name, _)| name).collect()
     }
--- a/crates/driver/src/module.rs
+++ b/crates/driver/src/module.rs
@@ -11,7 +11,7 @@
 use async_io::Timer;
 use beaconshore::interface::{
     Action, Ended, Entry, Event, GroupId, ListKind, Listed, MemberId, Micros, Outcome, Report, Request,
-    RequestId, Role, SessionId, Word, ZoneId,
+    RequestId, Role, SessionId, Talk, Word, ZoneId,
 };
 use beaconshore_steering::Steering;
 use futures_lite::future;
@@ -21,7 +21,7 @@
 use crate::config::Config;
 use crate::listing::{Instance, Lifecycle, Listing, LEADER};
 use crate::member::{Attempt, AttemptEnd, Member, MemberMail};
-use crate::peers::{self, PeerWord, Peers};
+use crate::peers::{self, PeerMail, PeerWord, Peers};
 use crate::pg;
 use crate::stats::Counter;
 use crate::Node;
@@ -98,7 +98,7 @@
 pub struct ModuleHandle {
     mail: Sender<Mail>,
     lists: Sender<Listing>,
-    words: Sender<Vec<PeerWord>>,
+    words: Sender<(u32, PeerMail)>,
 }
 
 impl ModuleHandle {
@@ -114,9 +114,9 @@
         answer.recv().await.unwrap_or(false)
     }
 
-    /// Passes on what another driver heard from members; false if there is no room.
-    pub fn tell(&self, words: Vec<PeerWord>) -> bool {
-        self.words.try_send(words).is_ok()
+    /// Passes on what another driver, by its number, has to tell; false if there is no room.
+    pub fn tell(&self, from: u32, mail: PeerMail) -> bool {
+        self.words.try_send((from, mail)).is_ok()
     }
 
     /// Sends the list, which is handled before all other mail.
@@ -149,9 +149,9 @@
     router: Steering,
     mail: Receiver<Mail>,
     lists: Receiver<Listing>,
-    words: Receiver<Vec<PeerWord>>,
+    words: Receiver<(u32, PeerMail)>,
     handle: ModuleHandle,
-    peers: Option<Sender<Vec<PeerWord>>>,
+    peers: Option<Sender<PeerMail>>,
     open: HashMap<RequestId, Open>,
     /// Members by their ids here, until the decision module forgets them.
     members: HashMap<MemberId, Known>,
@@ -169,7 +169,10 @@
         let (list_sender, lists) = async_channel::bounded(LISTS);
         let (word_sender, words) = async_channel::bounded(DATAGRAMS);
         let handle = ModuleHandle { mail: mail_sender, lists: list_sender, words: word_sender };
-        let router = Steering::new(node.site.settings.clone(), None, config.seed, node.clock.now());
+        let router = {
+            let (settings, zones) = (node.site.settings.clone(), config.zones.clone());
+            Steering::new(settings, zones, config.seed, node.clock.now())
+        };
         let (open, members, ids, listed, due, swept) = Default::default();
         let (peers, given) = (peers.map(Peers::mailbox), handle.clone());
         let module = Module {
@@ -195,7 +198,7 @@
         enum Next {
             List(Listing),
             Mail(Mail),
-            Words(Vec<PeerWord>),
+            Words(u32, PeerMail),
             Timer,
         }
         self.on_list(ListKind::Cached, known);
@@ -216,7 +219,7 @@
                 Ok(Next::Timer)
             };
             let mail = async { mail.recv().await.map(Next::Mail) };
-            let words = async { words.recv().await.map(Next::Words) };
+            let words = async { words.recv().await.map(|(from, mail)| Next::Words(from, mail)) };
             // What binds goes first; a timer that is due is not to wait for an empty mailbox.
             match future::or(list, future::or(due, future::or(mail, words))).await {
                 Err(_) => return,
@@ -225,7 +228,7 @@
                     self.on_list(kind, listing);
                 }
                 Ok(Next::Mail(mail)) => self.on_mail(mail),
-                Ok(Next::Words(words)) => self.on_words(&words),
+                Ok(Next::Words(from, mail)) => self.on_peer(from, mail),
                 Ok(Next::Timer) => {
                     (self.due, set) = (None, None);
                     if self.node.pulse.beat(self.node.clock.now()) {
@@ -254,9 +257,17 @@
         }
     }
 
-    fn on_words(&mut self, words: &[PeerWord]) {
-        let words: Vec<Word> = words.iter().filter_map(|w| self.word(w)).collect();
-        self.handle(&Event::Told(words));
+    fn on_peer(&mut self, from: u32, mail: PeerMail) {
+        match mail {
+            PeerMail::Words(words) => {
+                let words: Vec<Word> = words.iter().filter_map(|w| self.word(w)).collect();
+                self.handle(&Event::Told(words));
+            }
+            PeerMail::Talks(mut talks) => {
+                talks.iter_mut().for_each(|talk| talk.until = self.node.skew.ours(talk.until));
+                self.handle(&Event::Talk(from, talks));
+            }
+        }
     }
 
     // ---- Messages to events ----
@@ -411,7 +422,7 @@
             Action::Probe(member) => self.mail_member(member, MemberMail::Probe),
             Action::Forget(member) => self.forget(member),
             Action::Tell(words) => self.tell(&words),
-            Action::Talk(_) => {}
+            Action::Talk(talks) => self.talk(talks),
             Action::SetTimer(after) => {
                 self.due = Some(self.node.clock.instant(now + after));
                 self.node.pulse.expect(now, now + after);
@@ -467,7 +478,15 @@
         // Drivers tell each other the members' time: their own clocks may differ.
         let theirs = |w: &Word| self.node.skew.theirs(w.position);
         let words = named.map(|(w, known)| PeerWord { tag: known.tag, position: theirs(w), role: w.role });
-        if peers.try_send(words.collect()).is_err() {
+        if peers.try_send(PeerMail::Words(words.collect())).is_err() {
+            self.node.stats.count(Counter::Dropped);
+        }
+    }
+
+    fn talk(&mut self, mut talks: Vec<Talk>) {
+        let Some(peers) = &self.peers else { return };
+        talks.iter_mut().for_each(|talk| talk.until = self.node.skew.theirs(talk.until));
+        if peers.try_send(PeerMail::Talks(talks)).is_err() {
             self.node.stats.count(Counter::Dropped);
         }
     }
@@ -480,6 +499,7 @@
         }
         self.swept = now;
         self.node.stats.note(self.router.sizes());
+        self.node.stats.note_zones(self.router.zones(now));
         let late = self.open.iter().filter(|(_, open)| open.out.is_none() && now > open.ends + OVERDUE);
         for id in late.map(|(id, _)| *id).collect::<Vec<_>>() {
             warn!("request {} was not decided in time", id.0);
--- a/crates/driver/src/peers.rs
+++ b/crates/driver/src/peers.rs
@@ -1,7 +1,9 @@
-//! Datagrams between drivers: what members said of their positions and roles.
+//! Datagrams between drivers: what members said of their positions and roles, and what planners tell each other.
 //!
-//! A datagram holds a version, a base time (Unix ms, 6 bytes), and words of 8 bytes: the tag of a member's name,
-//! then how many milliseconds its position is before the base, times 4, plus its role. What does not read as
+//! A datagram of words holds a version, a base time (Unix ms, 6 bytes), and words of 8 bytes: the tag of a member's name,
+//! then how many milliseconds its position is before the base, times 4, plus its role. One of
+//! talks holds another version, a base time, and talks of 12 bytes: a zone, the number of a driver (or none), work in
+//! microseconds, and how many milliseconds after the base it ends. What does not read as
 //! such, or does not come from a peer, is dropped whole.
 
 use std::net::{SocketAddr, UdpSocket};
@@ -10,7 +12,7 @@
 
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
-use beaconshore::interface::{Micros, Role};
+use beaconshore::interface::{Micros, Role, Talk, ZoneId};
 use futures_lite::future;
 
 use crate::config::Config;
@@ -21,9 +23,14 @@
 /// Longest datagram.
 const MAX_DATAGRAM: usize = 256;
 const VERSION: u8 = 1;
+/// The version of datagrams of talks.
+const TALKS: u8 = 2;
 const HEADER: usize = 7;
 const WORD: usize = 8;
-/// Lists of words that may wait to be sent; further ones are dropped, as datagrams may be.
+const TALK: usize = 12;
+/// In the place of a driver's number: to all, an ask.
+const NOBODY: u16 = u16::MAX;
+/// Messages that may wait to be sent; further ones are dropped, as datagrams may be.
 const MAILBOX: usize = 16;
 /// Pause after an error of the socket.
 const ERROR_PAUSE: Duration = Duration::from_millis(20);
@@ -39,6 +46,72 @@
     pub role: Option<Role>,
 }
 
+/// What drivers tell each other.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PeerMail {
+    /// What members said.
+    Words(Vec<PeerWord>),
+    /// What planners have to say.
+    Talks(Vec<Talk>),
+}
+
+impl PeerMail {
+    /// Writes it to datagrams.
+    pub fn encode(&self) -> Vec<Vec<u8>> {
+        match self {
+            PeerMail::Words(words) => encode(words),
+            PeerMail::Talks(talks) => encode_talks(talks),
+        }
+    }
+
+    /// Reads a datagram; none if any of it is malformed.
+    pub fn decode(bytes: &[u8]) -> Option<PeerMail> {
+        match bytes.first() {
+            Some(&TALKS) => decode_talks(bytes).map(PeerMail::Talks),
+            _ => decode(bytes).map(PeerMail::Words),
+        }
+    }
+}
+
+/// Writes talks to datagrams.
+fn encode_talks(talks: &[Talk]) -> Vec<Vec<u8>> {
+    let base = talks.iter().map(|t| t.until / 1000).min().unwrap_or(0);
+    let datagram = |talks: &[Talk]| {
+        let mut bytes = vec![TALKS];
+        bytes.extend_from_slice(&base.to_be_bytes()[2..]);
+        for talk in talks {
+            let to = talk.to.and_then(|to| u16::try_from(to).ok()).unwrap_or(NOBODY);
+            let after = u32::try_from(talk.until / 1000 - base).unwrap_or(u32::MAX);
+            bytes.extend_from_slice(&talk.zone.0.to_be_bytes());
+            bytes.extend_from_slice(&to.to_be_bytes());
+            // A number that does not fit is cut to what does.
+            bytes.extend_from_slice(&(talk.work as u32).to_be_bytes());
+            bytes.extend_from_slice(&after.to_be_bytes());
+        }
+        bytes
+    };
+    // What is lent to a driver whose number does not fit would read as an ask.
+    let fits = |t: &&Talk| t.to.is_none_or(|to| to < u32::from(NOBODY));
+    let talks: Vec<Talk> = talks.iter().filter(fits).cloned().collect();
+    talks.chunks((MAX_DATAGRAM - HEADER) / TALK).map(datagram).collect()
+}
+
+fn decode_talks(bytes: &[u8]) -> Option<Vec<Talk>> {
+    let (base, talks) = bytes.get(1..)?.split_at_checked(HEADER - 1)?;
+    if bytes.len() > MAX_DATAGRAM || talks.len() % TALK != 0 {
+        return None;
+    }
+    let base = base.iter().fold(0, |sum, &b| sum << 8 | Micros::from(b));
+    let read = |talk: &[u8]| {
+        let short = |at: usize| Some(u16::from_be_bytes(*talk.get(at..)?.first_chunk()?));
+        let long = |at: usize| Some(u32::from_be_bytes(*talk.get(at..)?.first_chunk()?));
+        let to = Some(short(2)?).filter(|to| *to != NOBODY).map(u32::from);
+        let until = base.checked_add(Micros::from(long(8)?))?.checked_mul(1000)?;
+        Some(Talk { zone: ZoneId(short(0)?), to, work: f64::from(long(4)?), until })
+    };
+    talks.chunks_exact(TALK).map(read).collect()
+}
+
 /// The tag of a member's name (FNV-1a).
 pub fn tag(name: &str) -> u32 {
     name.bytes().fold(0x811c_9dc5, |hash, b| (hash ^ u32::from(b)).wrapping_mul(0x0100_0193))
@@ -95,10 +168,12 @@
     node: Rc<Node>,
     socket: Async<UdpSocket>,
     own: Option<SocketAddr>,
+    /// All of them, by number.
+    numbers: Vec<SocketAddr>,
     others: Vec<SocketAddr>,
     all: Option<SocketAddr>,
-    sender: Sender<Vec<PeerWord>>,
-    mailbox: Receiver<Vec<PeerWord>>,
+    sender: Sender<PeerMail>,
+    mailbox: Receiver<PeerMail>,
 }
 
 /// The actor, not yet running.
@@ -106,12 +181,13 @@
     let (sender, mailbox) = async_channel::bounded(MAILBOX);
     let own = config.peer_listen;
     let others = config.peers.iter().copied().filter(|&peer| Some(peer) != own).collect();
-    Peers { node: node.clone(), socket, own, others, all: config.peers_all, sender, mailbox }
+    let numbers = config.peers.clone();
+    Peers { node: node.clone(), socket, own, numbers, others, all: config.peers_all, sender, mailbox }
 }
 
 impl Peers {
     /// The way to its mailbox.
-    pub fn mailbox(&self) -> Sender<Vec<PeerWord>> {
+    pub fn mailbox(&self) -> Sender<PeerMail> {
         self.sender.clone()
     }
 
@@ -121,8 +197,8 @@
     }
 
     async fn send(&self) {
-        while let Ok(words) = self.mailbox.recv().await {
-            for datagram in encode(&words) {
+        while let Ok(mail) = self.mailbox.recv().await {
+            for datagram in mail.encode() {
                 self.node.stats.check(datagram.len() <= MAX_DATAGRAM, "a datagram keeps its bound");
                 let to = self.all.as_ref().map_or(&self.others[..], std::slice::from_ref);
                 for &peer in to {
@@ -145,8 +221,9 @@
             if Some(from) == self.own {
                 continue;
             }
-            let words = decode(&bytes[..length]).filter(|_| self.others.contains(&from));
-            let heard = words.is_some_and(|words| module.tell(words));
+            let number = self.numbers.iter().position(|peer| *peer == from);
+            let mail = PeerMail::decode(&bytes[..length]);
+            let heard = number.zip(mail).is_some_and(|(number, mail)| module.tell(number as u32, mail));
             self.node.stats.count(if heard { Counter::Heard } else { Counter::Dropped });
             // A flood of them is not to hold up the rest.
             future::yield_now().await;
--- a/crates/driver/src/stats.rs
+++ b/crates/driver/src/stats.rs
@@ -1,12 +1,13 @@
 //! Counters, what the driver holds, the regular lines in the log, and the checks of what must hold.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt::Write;
 use std::fs;
 use std::time::Duration;
 
 use async_io::Timer;
 use beaconshore::sizes::Sizes;
+use beaconshore_zones::planner::ZoneStatus;
 use log::{info, warn};
 
 use crate::Node;
@@ -80,11 +81,12 @@
     Breaches = "breaches",
 );
 
-/// The driver's counters, and the sizes of the decision module's tables as last noted.
+/// The driver's counters, how zones stand, and the sizes of the decision module's tables as last noted.
 #[derive(Debug, Default)]
 pub struct Stats {
     counts: [Cell<u64>; NAMES.len()],
     sizes: Cell<Sizes>,
+    zones: RefCell<Vec<ZoneStatus>>,
 }
 
 impl Stats {
@@ -116,6 +118,16 @@
     pub fn note(&self, sizes: Sizes) {
         self.sizes.set(sizes);
     }
+
+    /// Notes how zones stand; none without planners.
+    pub fn note_zones(&self, zones: Vec<ZoneStatus>) {
+        self.zones.replace(zones);
+    }
+
+    /// How zones stand, a line for each, by preference.
+    pub fn zones(&self) -> Vec<String> {
+        self.zones.borrow().iter().map(ZoneStatus::to_string).collect()
+    }
 }
 
 /// What the driver holds, in one line.
@@ -148,6 +160,7 @@
         if line != last {
             info!("counts: {line}");
             info!("holds: {}", holdings(node));
+            node.stats.zones().iter().for_each(|line| info!("zones: {line}"));
             last = line;
         }
     }
--- a/crates/driver/tests/common/driver.rs
+++ b/crates/driver/tests/common/driver.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -107,6 +107,11 @@
 
 /// Starts the program with this text as its configuration; the address of discovery is set beside it, if given.
 pub fn spawn(text: &str, discovery: Option<&str>) -> (Child, PathBuf) {
+    spawn_for(text, discovery, None)
+}
+
+/// The same with an operator's file.
+pub fn spawn_for(text: &str, discovery: Option<&str>, operator: Option<&Path>) -> (Child, PathBuf) {
     let number = FILES.fetch_add(1, Ordering::Relaxed);
     let file = env::temp_dir().join(format!("beaconshore-test-{}-{number}.json", process::id()));
     fs::write(&file, text).unwrap();
@@ -117,19 +122,32 @@
         .env_remove("RELAY_LISTEN")
         .env_remove("RELAY_DISCOVERY")
         .env_remove("RELAY_NAME")
+        .env_remove("BEACONSHORE_OPERATOR")
         .stdin(Stdio::null())
         .stdout(Stdio::null())
         .stderr(Stdio::piped());
     if let Some(discovery) = discovery {
         command.env("RELAY_DISCOVERY", discovery);
     }
+    if let Some(operator) = operator {
+        command.env("BEACONSHORE_OPERATOR", operator);
+    }
     (command.spawn().expect("the program starts"), file)
 }
 
 impl Driver {
     pub fn start(config: Value) -> Driver {
+        Driver::operated(config, None)
+    }
+
+    /// One with an operator's file of this text.
+    pub fn operated(config: Value, operator: Option<&str>) -> Driver {
         let address = config["listen"].as_str().unwrap().parse().unwrap();
-        let (mut child, file) = spawn(&config.to_string(), config["discovery"].as_str());
+        let number = FILES.fetch_add(1, Ordering::Relaxed);
+        let path = env::temp_dir().join(format!("beaconshore-test-{}-{number}.textproto", process::id()));
+        operator.into_iter().for_each(|text| fs::write(&path, text).unwrap());
+        let (text, discovery) = (config.to_string(), config["discovery"].as_str());
+        let (mut child, file) = spawn_for(&text, discovery, operator.map(|_| path.as_path()));
         let log = Arc::new(Mutex::new(Vec::new()));
         let (stderr, lines) = (BufReader::new(child.stderr.take().unwrap()), log.clone());
         thread::spawn(move || {
@@ -139,6 +157,7 @@
         eventually("the driver answers an empty query", || {
             TcpStream::connect(address).is_ok() && Client::connect(address).ask("").kinds == "IZ"
         });
+        let _ = fs::remove_file(path);
         driver
     }
 
--- a/crates/driver/tests/parsers.rs
+++ b/crates/driver/tests/parsers.rs
@@ -1,7 +1,8 @@
 //! The parsers, without sockets: every split, bounds, junk.
 
-use beaconshore::interface::Role;
+use beaconshore::interface::{Role, Talk, ZoneId};
 use beaconshore_driver::listing::{Lifecycle, Listing};
+use beaconshore_driver::peers::PeerMail;
 use beaconshore_driver::pg::{self, Backend, Broken, Frontend, Opening, Severity};
 use beaconshore_driver::{http, peers};
 
@@ -330,3 +331,22 @@
     early[5 + 2..5 + 6].copy_from_slice(&3_000_000_000_u32.to_be_bytes());
     assert_eq!(pg::backend(&early[..11]), Err(Broken::Content));
 }
+
+#[test]
+fn talks_of_planners_come_through_datagrams_as_they_were() {
+    let talk = |to, work, until| Talk { zone: ZoneId(2), to, work, until };
+    let base = 1_767_225_600_123_000;
+    let talks: Vec<Talk> = (0..50)
+        .map(|i| talk((i % 3 > 0).then_some(i), f64::from(i) * 1000.0, base + 7_000 * u64::from(i)))
+        .collect();
+    let datagrams = PeerMail::Talks(talks.clone()).encode();
+    assert!(datagrams.iter().all(|d| d.len() <= 256) && datagrams.len() == 3);
+    let read = |d: &Vec<u8>| match PeerMail::decode(d) {
+        Some(PeerMail::Talks(talks)) => talks,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(datagrams.iter().flat_map(read).collect::<Vec<_>>(), talks);
+    // Half a talk, and one to a driver whose number does not fit.
+    assert_eq!(PeerMail::decode(&datagrams[0][..20]), None);
+    assert_eq!(PeerMail::Talks(vec![talk(Some(70_000), 1.0, base)]).encode(), Vec::<Vec<u8>>::new());
+}
--- a/crates/operator/src/zones.rs
+++ b/crates/operator/src/zones.rs
@@ -76,6 +76,16 @@
         assert_eq!(policy.of(ZoneId(1)).unwrap().prefer, [ZoneId(1), ZoneId(0)]);
     }
 
+    #[test]
+    fn the_shipped_example_holds_the_defaults() {
+        let text = include_str!("../../../deploy/operator.textproto");
+        let names: Vec<String> = ["a", "b", "c"].map(String::from).into();
+        let file = parse("operator.textproto", text).unwrap();
+        let policy = zones("operator.textproto", text, &file.zones.unwrap(), &names).unwrap();
+        assert_eq!(policy.zones.len(), 3);
+        assert_eq!(Policy { zones: Vec::new(), ..policy }, Policy::default());
+    }
+
     #[test]
     fn what_cannot_be_meant_is_refused_with_place_and_reason() {
         let cases = [
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -248,7 +248,8 @@
         let lot = share_of(held.lot ^ u64::from(word.zone.0) << 32);
         let work = self.services[held.class].base;
         let fits = |s: &Spill| s.credit >= work && s.shares.get(held.class).is_none_or(|share| lot < *share);
-        lot < word.share && (!self.spills(held, m.zone) || word.spill.as_ref().is_none_or(fits))
+        // The lot by which cold and silent members are tried: shares of one request are not multiplied.
+        self.lot(held, m) < word.share && (!self.spills(held, m.zone) || word.spill.as_ref().is_none_or(fits))
     }
 
     /// Whether planners' words alone keep a read from all members that could serve it: it need not wait then.
