Large fleets share the spill limit over longer windows; a first loss leads back cold too

Change: a part that a few requests fill is held over as many seconds as these take; a probe's answer will do where a step has none; loans go to their borrower only and up to 32 routers; probes of a lost zone grow rarer with the number of routers, at once where a peer has heard from a member.

--- a/crates/driver/src/module.rs
+++ b/crates/driver/src/module.rs
@@ -1,7 +1,7 @@
 //! The module's actor: it owns the decision module with its planners and the table of open requests. Here alone messages become
 //! events and actions become messages.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
@@ -21,7 +21,7 @@
 use crate::config::Config;
 use crate::listing::{Instance, Lifecycle, Listing, LEADER};
 use crate::member::{Attempt, AttemptEnd, Member, MemberMail};
-use crate::peers::{self, PeerMail, PeerWord, Peers};
+use crate::peers::{self, Letter, PeerMail, PeerWord, Peers};
 use crate::pg;
 use crate::stats::Counter;
 use crate::Node;
@@ -151,7 +151,7 @@
     lists: Receiver<Listing>,
     words: Receiver<(u32, PeerMail)>,
     handle: ModuleHandle,
-    peers: Option<Sender<PeerMail>>,
+    peers: Option<Sender<Letter>>,
     open: HashMap<RequestId, Open>,
     /// Members by their ids here, until the decision module forgets them.
     members: HashMap<MemberId, Known>,
@@ -478,7 +478,7 @@
         // Drivers tell each other the members' time: their own clocks may differ.
         let theirs = |w: &Word| self.node.skew.theirs(w.position);
         let words = named.map(|(w, known)| PeerWord { tag: known.tag, position: theirs(w), role: w.role });
-        if peers.try_send(PeerMail::Words(words.collect())).is_err() {
+        if peers.try_send((None, PeerMail::Words(words.collect()))).is_err() {
             self.node.stats.count(Counter::Dropped);
         }
     }
@@ -486,8 +486,13 @@
     fn talk(&mut self, mut talks: Vec<Talk>) {
         let Some(peers) = &self.peers else { return };
         talks.iter_mut().for_each(|talk| talk.until = self.node.skew.theirs(talk.until));
-        if peers.try_send(PeerMail::Talks(talks)).is_err() {
-            self.node.stats.count(Counter::Dropped);
+        // What is lent goes to its borrower only.
+        let mut by_driver: BTreeMap<Option<u32>, Vec<Talk>> = BTreeMap::new();
+        talks.into_iter().for_each(|talk| by_driver.entry(talk.to).or_default().push(talk));
+        for (to, talks) in by_driver {
+            if peers.try_send((to, PeerMail::Talks(talks))).is_err() {
+                self.node.stats.count(Counter::Dropped);
+            }
         }
     }
 
--- a/crates/driver/src/peers.rs
+++ b/crates/driver/src/peers.rs
@@ -55,6 +55,9 @@
     Talks(Vec<Talk>),
 }
 
+/// What is to be told, and to which driver by its number; none: to all others.
+pub type Letter = (Option<u32>, PeerMail);
+
 impl PeerMail {
     /// Writes it to datagrams.
     pub fn encode(&self) -> Vec<Vec<u8>> {
@@ -172,8 +175,8 @@
     numbers: Vec<SocketAddr>,
     others: Vec<SocketAddr>,
     all: Option<SocketAddr>,
-    sender: Sender<PeerMail>,
-    mailbox: Receiver<PeerMail>,
+    sender: Sender<Letter>,
+    mailbox: Receiver<Letter>,
 }
 
 /// The actor, not yet running.
@@ -187,7 +190,7 @@
 
 impl Peers {
     /// The way to its mailbox.
-    pub fn mailbox(&self) -> Sender<PeerMail> {
+    pub fn mailbox(&self) -> Sender<Letter> {
         self.sender.clone()
     }
 
@@ -197,11 +200,12 @@
     }
 
     async fn send(&self) {
-        while let Ok(mail) = self.mailbox.recv().await {
+        while let Ok((to, mail)) = self.mailbox.recv().await {
+            let all = self.all.as_ref().map_or(&self.others[..], std::slice::from_ref);
+            let one = to.and_then(|number| self.numbers.get(number as usize));
             for datagram in mail.encode() {
                 self.node.stats.check(datagram.len() <= MAX_DATAGRAM, "a datagram keeps its bound");
-                let to = self.all.as_ref().map_or(&self.others[..], std::slice::from_ref);
-                for &peer in to {
+                for &peer in one.map_or(all, std::slice::from_ref) {
                     // Datagrams may be lost.
                     let _ = self.socket.send_to(&datagram, peer).await;
                     self.node.stats.count(Counter::Told);
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -486,8 +486,13 @@
             }
             Action::Probe(member) => self.probe(process, member.0 as usize),
             Action::Forget(_) | Action::Subscribe => {}
-            Action::Tell(words) => self.tell_peers(router, |p| Ev::Words(p, words.clone())),
-            Action::Talk(talks) => self.tell_peers(router, |p| Ev::Talk(p, router as u32, talks.clone())),
+            Action::Tell(words) => self.tell_peers(router, |p| Some(Ev::Words(p, words.clone()))),
+            Action::Talk(talks) => self.tell_peers(router, |p| {
+                // What is lent goes to its borrower only.
+                let own = talks.iter().filter(|t| t.to.is_none_or(|to| to as usize == p.0));
+                let own: Vec<Talk> = own.cloned().collect();
+                (!own.is_empty()).then_some(Ev::Talk(p, router as u32, own))
+            }),
             Action::SetTimer(after) => self.queue.after(after, Ev::Timer(process)),
             Action::Log(line) => self.day.lines.push((now - DAWN, router, line)),
         }
@@ -870,19 +875,20 @@
         self.queue.after(back, Ev::Probed(process, member, Some(Box::new(told.report))));
     }
 
-    fn tell_peers(&mut self, router: usize, message: impl Fn(Process) -> Ev) {
+    fn tell_peers(&mut self, router: usize, message: impl Fn(Process) -> Option<Ev>) {
         if !self.plan.routers.peers {
             return;
         }
         for other in 0..self.routers.len() {
             let (from, to) = (self.routers[router].zone, self.routers[other].zone);
+            let process = (other, self.routers[other].epoch);
+            let Some(message) = message(process) else { continue };
             let cut = !self.network.passes(from, to, Way::Out) || !self.network.passes(to, from, Way::Out);
             if other == router || cut || self.network.loses(self.plan.routers.peer_loss) {
                 continue;
             }
             let delay = self.network.around(self.plan.routers.peer_delay);
-            let process = (other, self.routers[other].epoch);
-            self.queue.after(delay, message(process));
+            self.queue.after(delay, message);
         }
     }
 
--- a/crates/emulator/tests/hard_cases.rs
+++ b/crates/emulator/tests/hard_cases.rs
@@ -177,7 +177,7 @@
     let more = "fault { at_s: 8 for_s: 10 zone_loss { zone: 'west' } }";
     // Three are in every other case; thirty have a tenth of the requests each, as many as three hundred at a rate
     // that fits a test: what each sees is what counts.
-    for routers in [10] {
+    for routers in [10, 100] {
         let case = Case { routers, rate: 600, groups: 8, ..Case::new(40, more) };
         let plan = case.plan();
         let day = play(&plan, Brains::Planned, 1);
--- a/crates/zones/src/planner.rs
+++ b/crates/zones/src/planner.rs
@@ -8,7 +8,7 @@
     RequestId, Role, Settings, Spill, Talk, ZoneId, ZoneWord,
 };
 
-use crate::evidence::{Assessment, Evidence, Verdict};
+use crate::evidence::{Assessment, Evidence, Record, Verdict};
 use crate::policy::Policy;
 use crate::ramp::STEPS;
 use crate::spill::{allot, Account, Demand, Wish, ROUND};
@@ -20,6 +20,8 @@
 const HOME_MEMORY: Micros = 600_000_000;
 /// A member of a zone that is lost or on its way back is probed this often at most, in microseconds.
 const PROBE_PAUSE: Micros = 500_000;
+/// That pause is for this many routers; more of them ask more rarely, so that members are not busy with answers.
+const PROBING: u32 = 16;
 /// So many such probes go out in a round at most, whatever the size of the zone.
 const PROBES: usize = 4;
 /// The router's figure for a request's work is the least that its mean has been; the mean is about this much more.
@@ -28,8 +30,12 @@
 const ASK_PAUSE: Micros = 250_000;
 /// Times what wants to spill: limits are to have room for what comes unevenly.
 const ASK_AHEAD: f64 = 1.4;
+/// More routers than this lend each other nothing: messages grow with the square of their number.
+const MOST_LENDERS: u32 = 32;
 /// Talks that may wait to be sent; others ask again.
 const MOST_TALKS: usize = 64;
+/// Windows are fitted to what requests take this often.
+const FIT_PAUSE: Micros = 1_000_000;
 /// Requests that are followed at once; of further ones it is not known what they wanted to spill.
 const MOST_REQUESTS: usize = 65_536;
 
@@ -105,6 +111,7 @@
     probed: BTreeMap<MemberId, Micros>,
     round_at: Micros,
     asked: Micros,
+    fitted: Micros,
     talks: Vec<Talk>,
     changes: Vec<(ZoneId, Change)>,
 }
@@ -117,9 +124,9 @@
             _ => None,
         };
         Planner {
+            policy: Policy { number: policy.number.filter(|_| settings.routers <= MOST_LENDERS), ..policy },
             bound: settings.classes.iter().filter_map(bound).min().unwrap_or(1_000_000),
             view: View { zone: settings.zone, settings: settings.clone() },
-            policy,
             evidence: Evidence::default(),
             tiers: Tiers::default(),
             zones: BTreeMap::new(),
@@ -132,6 +139,7 @@
             probed: BTreeMap::new(),
             round_at: now,
             asked: 0,
+            fitted: 0,
             talks: Vec::new(),
             changes: Vec::new(),
         }
@@ -175,6 +183,8 @@
                     self.tiers.sample(zone, took);
                 }
                 if *outcome == Outcome::Served {
+                    let zone = self.evidence.record(*member).and_then(|r| self.zones.get_mut(&r.zone));
+                    zone.and_then(|z| z.state.ramp()).into_iter().for_each(|ramp| ramp.on_probe());
                     self.on_role(*member, report.role);
                     self.evidence.on_said(*member, report.position, report.utilization, now);
                 }
@@ -276,6 +286,7 @@
 
     /// Takes what the router answered; `work` is what a request of a class takes.
     pub fn on_actions(&mut self, now: Micros, actions: &[Action], work: impl Fn(usize) -> f64) {
+        self.fit(now, &work);
         for action in actions {
             match action {
                 Action::Send { request, member, .. } => self.on_send(*request, *member, now, &work),
@@ -296,6 +307,18 @@
         }
     }
 
+    /// Windows are long enough for a few requests of the class that takes most.
+    fn fit(&mut self, now: Micros, work: &impl Fn(usize) -> f64) {
+        if now < self.fitted + FIT_PAUSE {
+            return;
+        }
+        self.fitted = now;
+        let reads = (0..self.view.settings.classes.len()).filter(|class| self.is_read(*class));
+        let most = reads.map(work).fold(0.0, f64::max);
+        let accounts = self.zones.values_mut().filter_map(|z| z.account.as_mut());
+        accounts.for_each(|account| account.fit(now, MEAN * most));
+    }
+
     fn on_send(&mut self, request: RequestId, member: MemberId, now: Micros, work: &impl Fn(usize) -> f64) {
         self.evidence.on_send(request, member, now);
         let Some((class, group)) = self.requests.get(&request).copied() else { return };
@@ -388,19 +411,23 @@
         if !self.view.settings.limits.probes {
             return Vec::new();
         }
+        let rare = PROBE_PAUSE * Micros::from((self.view.settings.routers / PROBING).max(1));
         let mut due = Vec::new();
-        for (id, zone) in &self.zones {
+        for (id, zone) in &mut self.zones {
             if *zone.state.phase() == Phase::Well {
                 continue;
             }
-            let since = zone.state.since();
-            let wanted = |r: &crate::evidence::Record| {
-                r.zone == *id && r.listed == Listed::Ready && (zone.state.is_doubted() || r.answered < since)
-            };
+            let (since, doubted) = (zone.state.since(), zone.state.is_doubted());
+            let unproven = zone.state.ramp().is_some_and(|ramp| ramp.is_unproven());
             let last = |m: &MemberId| self.probed.get(m).copied().unwrap_or(0);
+            let wanted = |m: &MemberId, r: &Record| {
+                let asked =
+                    r.zone == *id && r.listed == Listed::Ready && (doubted || unproven || r.answered < since);
+                // Where a peer heard from it since, it is worth a look at once.
+                asked && now >= last(m) + if r.told > since { PROBE_PAUSE } else { rare }
+            };
             let mut members: Vec<MemberId> =
-                self.evidence.records().filter(|(_, r)| wanted(r)).map(|(m, _)| m).collect();
-            members.retain(|m| now >= last(m) + PROBE_PAUSE);
+                self.evidence.records().filter(|(m, r)| wanted(m, r)).map(|(m, _)| m).collect();
             members.sort_by_key(last);
             due.extend(members.into_iter().take(PROBES));
         }
--- a/crates/zones/src/ramp.rs
+++ b/crates/zones/src/ramp.rs
@@ -17,12 +17,14 @@
 const BUSY: f64 = 0.9;
 /// A step of next to no share needs this part of the proof that the last one needs: little is at stake there.
 const LEAST_PROOF: f64 = 0.25;
-/// A router with little traffic goes on after so many stays, with one answer and no failure.
-const SPARSE_STAYS: u32 = 8;
+/// A router with little traffic goes on after so many stays, with one answer (a probe's will do) and no failure:
+/// what it may send is too little to matter by itself, and others look as well.
+const SPARSE_STAYS: u32 = 4;
 
 /// What a step showed so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Proof {
+    probes: u32,
     answers: u32,
     failures: u32,
     took: f64,
@@ -52,9 +54,19 @@
     FallingBehind,
 }
 
+/// What a zone comes back from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum From {
+    /// Its members were gone: they may be cold, whatever the list says of their start.
+    Loss,
+    /// Only the way there was cut: its members went on, unless the list names a start.
+    Cut,
+}
+
 /// A zone's way back.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ramp {
+    from: From,
     step: usize,
     since: Micros,
     began: Micros,
@@ -71,7 +83,17 @@
     pub fn start(now: Micros, cut: bool, doublings: u32) -> Self {
         let step = if cut { WARM_STEP } else { 0 };
         let doublings = if cut { 0 } else { doublings };
-        Ramp { step, since: now, began: now, doublings, fallen: 0, proof: Proof::default(), lag: f64::MAX }
+        let from = if cut { From::Cut } else { From::Loss };
+        Ramp {
+            from,
+            step,
+            since: now,
+            began: now,
+            doublings,
+            fallen: 0,
+            proof: Proof::default(),
+            lag: f64::MAX,
+        }
     }
 
     /// The step, from 0.
@@ -89,13 +111,27 @@
         }
     }
 
+    /// Takes the answer to a probe there.
+    pub fn on_probe(&mut self) {
+        self.proof.probes += 1;
+    }
+
+    /// Whether this step has had no answer so far: a probe may have to do.
+    pub fn is_unproven(&self) -> bool {
+        self.proof.answers + self.proof.probes == 0
+    }
+
     /// The share of reads that may go there now: the step's, as far as the age of its members allows. All
     /// routers draw from their own traffic, so the sum over any fleet is this share of the zone's usual load.
     pub fn share(&self, zone: &Assessment, rules: &RuleFigures, now: Micros) -> f64 {
-        let started = zone.youngest.unwrap_or(self.began).max(self.began.min(now));
-        let age = now.saturating_sub(started) as f64 / rules.warm_within.max(1) as f64;
-        let warm = rules.cold_share + (1.0 - rules.cold_share) * age.min(1.0);
-        let cold = if self.doublings == 0 && self.step >= WARM_STEP { 1.0 } else { warm };
+        let began = match self.from {
+            From::Loss => Some(self.began),
+            From::Cut => None,
+        };
+        let cold = zone.youngest.max(began).map_or(1.0, |started| {
+            let age = now.saturating_sub(started) as f64 / rules.warm_within.max(1) as f64;
+            rules.cold_share + (1.0 - rules.cold_share) * age.min(1.0)
+        });
         let behind = if zone.fresh < FRESH { BEHIND_SHARE } else { 1.0 };
         STEPS[self.step].min(cold).min(behind)
     }
@@ -103,7 +139,7 @@
     /// Looks at what the step showed.
     pub fn look(&mut self, zone: &Assessment, policy: &Policy, usual: f64, now: Micros) -> Move {
         let stay = policy.dwell << (self.doublings + self.fallen).min(policy.most_doublings);
-        let Proof { answers, failures, took } = self.proof;
+        let Proof { probes, answers, failures, took } = self.proof;
         let all = answers + failures;
         let stake = LEAST_PROOF + (1.0 - LEAST_PROOF) * STEPS[self.step];
         let proven = f64::from(answers) >= stake * f64::from(policy.proof);
@@ -126,7 +162,8 @@
                 }
             };
         }
-        let sparse = now >= self.since + stay * Micros::from(SPARSE_STAYS) && answers > 0 && failures == 0;
+        let sparse =
+            now >= self.since + stay * Micros::from(SPARSE_STAYS) && answers + probes > 0 && failures == 0;
         if zone.utilization > BUSY || !(proven || sparse) {
             return Move::Stay;
         }
--- a/crates/zones/src/spill.rs
+++ b/crates/zones/src/spill.rs
@@ -9,6 +9,10 @@
 
 /// Weight of a round's demand in the mean; rounds come every `ROUND`.
 const GAIN: f64 = 0.1;
+/// Requests that a window has room for at least.
+const FEW: f64 = 4.0;
+/// Longest window, in seconds.
+const LONGEST: f64 = 30.0;
 /// Time between two rounds of shares, in microseconds.
 pub const ROUND: Micros = 50_000;
 
@@ -50,7 +54,7 @@
         Account { part: Part::new(limit), window: Window::default() }
     }
 
-    /// Work in any second that may spill.
+    /// Work in any second that may spill, or on the mean of a longer window.
     pub fn limit(&self, now: Micros) -> f64 {
         self.part.limit(now)
     }
@@ -62,7 +66,7 @@
 
     /// Lends a part to a router that asks for so much.
     pub fn lend(&mut self, to: u32, need: f64, now: Micros) -> Option<(f64, Micros)> {
-        let used = self.window.sum(now);
+        let used = self.used(now);
         self.part.lend(to, need, used, now)
     }
 
@@ -76,14 +80,26 @@
         self.window.add(now, work);
     }
 
-    /// Work that spilled within the last second.
+    /// Work that spilled within the last second, or in a second on the mean of a longer window.
     pub fn used(&mut self, now: Micros) -> f64 {
-        self.window.sum(now)
+        self.window.sum(now) / f64::from(self.window.span())
     }
 
     /// What may still go now.
     pub fn credit(&mut self, now: Micros) -> f64 {
-        (self.part.limit(now) - self.window.sum(now)).max(0.0)
+        let whole = self.part.limit(now) * f64::from(self.window.span());
+        (whole - self.window.sum(now)).max(0.0)
+    }
+
+    /// A part that a few requests (of this work) fill is held over as many seconds as these take: within one it
+    /// would let none through, or be used by a fraction. Many such routers together hold the limit by their
+    /// number, not in each second. May hurt where they all burst at once.
+    pub fn fit(&mut self, now: Micros, work: f64) {
+        let span = (FEW * work / self.part.own(now).max(1.0)).ceil().clamp(1.0, LONGEST);
+        // Not for every change of what requests take.
+        if span > f64::from(self.window.span()) || 2.0 * span < f64::from(self.window.span()) {
+            self.window.stretch(now, span as u32);
+        }
     }
 }
 
@@ -149,6 +165,17 @@
             let within = sent[i..].iter().take_while(|at| **at < from + WINDOW).count();
             assert!(within as f64 * 70.0 <= 1000.0, "{within} sends in a second");
         }
+        // A part of less than a request in a second lets one through now and then.
+        let (mut small, mut count) = (Account::new(20.0), 0);
+        small.fit(now, 70.0);
+        for _ in 0..20_000 {
+            now += 5_000;
+            if small.credit(now) >= 70.0 {
+                small.spend(now, 70.0);
+                count += 1;
+            }
+        }
+        assert!((20..=32).contains(&count), "{count} sends in 100 s");
         assert!(sent.len() > 4_000 * 3_137 / 1_000_000 * 12, "the limit is used: {} sends", sent.len());
     }
 }
--- a/crates/zones/src/window.rs
+++ b/crates/zones/src/window.rs
@@ -1,4 +1,4 @@
-//! Work within any second, counted so that no placement of the second finds more than the limit.
+//! Work within any second (or any few seconds), counted so that no placement finds more than the limit.
 
 use beaconshore::interface::Micros;
 
@@ -6,11 +6,12 @@
 pub const WINDOW: Micros = 1_000_000;
 /// Slots that it is counted in: the newest and all that a window reaching into it may touch.
 const SLOTS: usize = 51;
-const SLOT: Micros = WINDOW / (SLOTS as Micros - 1);
 
-/// Work of the last second, rounded up by a slot's.
+/// Work of the last second or seconds, rounded up by a slot's.
 #[derive(Clone, Debug)]
 pub struct Window {
+    /// Seconds.
+    span: u32,
     slots: [f64; SLOTS],
     newest: Micros,
     sum: f64,
@@ -18,11 +19,29 @@
 
 impl Default for Window {
     fn default() -> Self {
-        Window { slots: [0.0; SLOTS], newest: 0, sum: 0.0 }
+        Window { span: 1, slots: [0.0; SLOTS], newest: 0, sum: 0.0 }
     }
 }
 
 impl Window {
+    /// Its length, in seconds.
+    pub fn span(&self) -> u32 {
+        self.span
+    }
+
+    /// Counts over so many seconds from now on; what was counted is taken to be of now.
+    pub fn stretch(&mut self, now: Micros, span: u32) {
+        if span != self.span {
+            let sum = self.sum(now);
+            *self = Window { span: span.max(1), ..Window::default() };
+            self.add(now, sum);
+        }
+    }
+
+    fn slot(&self) -> Micros {
+        Micros::from(self.span) * WINDOW / (SLOTS as Micros - 1)
+    }
+
     /// Adds work done now.
     pub fn add(&mut self, now: Micros, work: f64) {
         self.turn(now);
@@ -37,7 +56,7 @@
     }
 
     fn turn(&mut self, now: Micros) {
-        let slot = (now / SLOT).max(self.newest);
+        let slot = (now / self.slot()).max(self.newest);
         if slot - self.newest >= SLOTS as Micros {
             (self.slots, self.sum) = ([0.0; SLOTS], 0.0);
         } else if slot > self.newest {
--- a/crates/zones/tests/evidence.rs
+++ b/crates/zones/tests/evidence.rs
@@ -165,6 +165,7 @@
 #[test]
 fn attempts_that_nobody_answers_count_before_their_time_is_over() {
     let mut s = stage(Policy::default());
+    s.now += MS;
     for m in [2, 5, 8] {
         s.next += 1;
         let send = Action::Send { request: RequestId(s.next), member: MemberId(m), wait: 0 };
@@ -216,6 +217,7 @@
     // Half of 8 s of work a second, for two routers outside; the planner counts a seventh more than a mean.
     let full = credit(&s, 1).unwrap().credit;
     assert!((1_700_000.0..1_750_000.0).contains(&full), "{full}");
+    s.pass(2_000 * MS, |_| None);
     // The replica of group 0 at home is lost to it; its reads go to the primary in zone 1.
     s.pass(500 * MS, |m| (m == 1).then_some(Outcome::Served));
     let left = credit(&s, 1).unwrap().credit;
--- a/crates/zones/tests/way_back.rs
+++ b/crates/zones/tests/way_back.rs
@@ -97,12 +97,13 @@
 #[test]
 fn while_replicas_are_behind_little_goes_there_and_less_if_they_do_not_catch_up() {
     let mut now = START;
-    let mut ramp = at_step(4, &mut now);
+    let mut ramp = Ramp::start(now, true, 0);
     let behind = |lag: f64| Assessment { fresh: 0.0, lag, ..well() };
     assert!(ramp.share(&behind(30e6), &rules(), now + 60 * SECOND) <= 0.1);
     // It catches up: the step is held, and none is gained.
-    for tenths in (1..30).rev() {
-        assert_eq!(next_move(&mut ramp, &behind(f64::from(tenths) * 1e6), &mut now, 2, SECOND), None);
+    for seconds in (1..30).rev() {
+        let zone = behind(f64::from(seconds) * 1e6);
+        assert_eq!(next_move(&mut ramp, &zone, &mut now, 2, Policy::default().dwell), None);
     }
     assert_eq!(ramp.step(), 4);
     // It does not: it falls back.
