--- a/crates/driver/tests/parsers.rs
+++ b/crates/driver/tests/parsers.rs
@@ -1,6 +1,7 @@
 //! The parsers, without sockets: every split, bounds, junk.
 
 use beaconshore::interface::{Role, Talk, ZoneId};
+use beaconshore_driver::config::Config;
 use beaconshore_driver::listing::{Lifecycle, Listing};
 use beaconshore_driver::peers::PeerMail;
 use beaconshore_driver::pg::{self, Backend, Broken, Frontend, Opening, Severity};
@@ -350,3 +351,15 @@
     assert_eq!(PeerMail::decode(&datagrams[0][..20]), None);
     assert_eq!(PeerMail::Talks(vec![talk(Some(70_000), 1.0, base)]).encode(), Vec::<Vec<u8>>::new());
 }
+
+#[test]
+fn the_shipped_configuration_and_operators_file_fit_each_other() {
+    let config = Config::parse(include_bytes!("../../../deploy/driver.json")).unwrap();
+    let text = include_str!("../../../deploy/operator.textproto");
+    let zones = config.operator("operator.textproto", text).unwrap().unwrap();
+    assert_eq!(
+        (zones.zones.len(), zones.number),
+        (3, None),
+        "it may not talk to others, so it lends nothing"
+    );
+}
--- /dev/null
+++ b/crates/steering/benches/cost.rs
@@ -0,0 +1,156 @@
+//! What a request costs in the composition: with and without planners, for small and large fleets. One request
+//! is its arrival, its send, and the end of its attempt, with the router's timer in between as often as it rings.
+
+#![allow(missing_docs)] // What the benchmark's macros make.
+
+use beaconshore::interface::*;
+use beaconshore_steering::Steering;
+use beaconshore_zones::policy::{Policy, ZonePolicy};
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+
+const MS: Micros = 1_000;
+const START: Micros = 1_000_000_000;
+/// Requests between two rings of the timer: 270 a second.
+const PER_TICK: u64 = 3;
+
+fn settings() -> Settings {
+    let class = |consistency, effect, aim| Class {
+        consistency,
+        effect,
+        aim,
+        deadline: 2_000 * MS,
+        worth: 1.0,
+        late_worth: 0.3,
+    };
+    Settings {
+        routers: 3,
+        step: 5 * MS,
+        classes: vec![
+            class(Consistency::Bounded(200 * MS), Effect::Safe, 250 * MS),
+            class(Consistency::Write, Effect::Keyed(DedupScope::Group, 3_000 * MS), 600 * MS),
+        ],
+        limits: Limits {
+            max_attempts: 8,
+            max_retry_after: 1_000 * MS,
+            retry_after: true,
+            probes: true,
+            peer_messages: true,
+        },
+        rules: RuleFigures {
+            ask_within: 10_000 * MS,
+            cold_share: 0.2,
+            warm_within: 16_000 * MS,
+            fall_multiple: 2.0,
+            fall_window: 1_500 * MS,
+            ..RuleFigures::default()
+        },
+        ..Settings::default()
+    }
+}
+
+struct Stage {
+    steering: Steering,
+    groups: u32,
+    now: Micros,
+    next: u64,
+    actions: Vec<Action>,
+}
+
+impl Stage {
+    fn new(members: u32, policy: Option<Policy>) -> Stage {
+        let mut steering = Steering::new(settings(), policy, 7, START);
+        let entry = |m: u32| Entry {
+            member: MemberId(m),
+            group: GroupId(m / 3),
+            zone: ZoneId((m % 3) as u16),
+            listed: Listed::Ready,
+            started: None,
+            primary: m % 3 == 1,
+        };
+        let entries: Vec<Entry> = (0..members).map(entry).collect();
+        let mut actions = Vec::new();
+        steering.handle(START, &Event::List(ListKind::Cached, &entries), &mut actions);
+        let mut stage = Stage { steering, groups: members / 3, now: START, next: 0, actions };
+        stage.settle();
+        (0..members).for_each(|_| stage.request());
+        stage
+    }
+
+    /// Answers all probes and attempts that are out.
+    fn settle(&mut self) {
+        for action in std::mem::take(&mut self.actions) {
+            match action {
+                Action::Send { request, member, .. } => {
+                    let role = Some(if member.0 % 3 == 1 { Role::Primary } else { Role::Replica });
+                    let note = Note { position: Some(self.now - 5 * MS), role };
+                    let ended = Event::AttemptEnded(Ended {
+                        request,
+                        member,
+                        outcome: Outcome::Served,
+                        note,
+                        took: 40 * MS,
+                        finished: true,
+                        report: Report {
+                            position: note.position,
+                            role,
+                            utilization: Some(0.4),
+                            backlog: None,
+                        },
+                    });
+                    self.steering.handle(self.now, &ended, &mut self.actions);
+                }
+                Action::Probe(member) => {
+                    let role = Some(if member.0 % 3 == 1 { Role::Primary } else { Role::Replica });
+                    let report = Report { position: Some(self.now - 5 * MS), role, ..Report::default() };
+                    let ended = Event::ProbeEnded { member, outcome: Outcome::Served, report };
+                    self.steering.handle(self.now, &ended, &mut self.actions);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn request(&mut self) {
+        self.next += 1;
+        self.now += 3_700;
+        if self.next % PER_TICK == 0 {
+            self.steering.handle(self.now, &Event::Timer, &mut self.actions);
+        }
+        let request = Event::Request(Request {
+            id: RequestId(self.next),
+            class: usize::from(self.next % 7 == 0),
+            group: GroupId((self.next * 7 % u64::from(self.groups)) as u32),
+            session: None,
+            budget: 2_000 * MS,
+            repeat: false,
+            last_write_ago: None,
+        });
+        self.steering.handle(self.now, &request, &mut self.actions);
+        self.settle();
+    }
+}
+
+fn policy() -> Policy {
+    let zone = |id: u16| ZonePolicy {
+        zone: ZoneId(id),
+        name: String::new(),
+        prefer: Vec::new(),
+        capacity: 12.0,
+        routers: 1,
+    };
+    Policy { zones: vec![zone(0), zone(1), zone(2)], ..Policy::default() }
+}
+
+fn cost(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("request");
+    for members in [12, 120, 1_200] {
+        for (name, policy) in [("zones off", None), ("zones on", Some(policy()))] {
+            let mut stage = Stage::new(members, policy);
+            group.bench_function(BenchmarkId::new(name, members), |b| b.iter(|| stage.request()));
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, cost);
+criterion_main!(benches);
--- a/src/random.rs
+++ b/src/random.rs
@@ -1,21 +1,27 @@
 //! Numbers that look random, from a seed: no decision, only their source.
 
-/// A source of numbers (xorshift).
-#[derive(Clone, Debug, Default)]
-pub struct Random(u64);
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// A source of numbers (ChaCha with 8 rounds): the same on every machine and in every version.
+#[derive(Clone, Debug)]
+pub struct Random(ChaCha8Rng);
 
 impl Random {
     /// The same seed gives the same numbers.
     pub fn new(seed: u64) -> Self {
-        Random(seed | 1)
+        Random(ChaCha8Rng::seed_from_u64(seed))
     }
 
     /// A number under `below`.
     pub fn draw(&mut self, below: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0 % below.max(1)
+        self.0.random_range(0..below.max(1))
+    }
+}
+
+impl Default for Random {
+    fn default() -> Self {
+        Random::new(0)
     }
 }
 
