--- a/crates/steering/benches/cost.rs
+++ b/crates/steering/benches/cost.rs
@@ -113,12 +113,12 @@
     fn request(&mut self) {
         self.next += 1;
         self.now += 3_700;
-        if self.next % PER_TICK == 0 {
+        if self.next.is_multiple_of(PER_TICK) {
             self.steering.handle(self.now, &Event::Timer, &mut self.actions);
         }
         let request = Event::Request(Request {
             id: RequestId(self.next),
-            class: usize::from(self.next % 7 == 0),
+            class: usize::from(self.next.is_multiple_of(7)),
             group: GroupId((self.next * 7 % u64::from(self.groups)) as u32),
             session: None,
             budget: 2_000 * MS,
