Routes: limits, budgets and patience for requests, from the operator's file

Findings name the rule and what would be allowed, all at once. The module takes Event::Narrowed and Event::Rest, which only narrow it; crates/steering asks the director first.

--- a/crates/driver/src/config.rs
+++ b/crates/driver/src/config.rs
@@ -6,6 +6,7 @@
 
 use beaconshore_operator::parse;
 use beaconshore_settings::Site;
+use beaconshore_steering::Plans;
 use beaconshore_zones::Policy;
 use serde::Deserialize;
 
@@ -41,9 +42,9 @@
     pub known: Listing,
     /// The settings of the decision module, and what belongs to them.
     pub settings: Site,
-    /// What the operator's file says of zones; none: nothing is planned for them.
+    /// What the operator's file says; without one nothing is planned.
     #[serde(skip)]
-    pub zones: Option<Policy>,
+    pub plans: Plans,
 }
 
 /// What the machine allows.
@@ -80,21 +81,44 @@
         config.listen = address("RELAY_LISTEN")?.unwrap_or(config.listen);
         if let Some(path) = variable("BEACONSHORE_OPERATOR") {
             let text = fs::read_to_string(&path).map_err(|e| format!("operator's file {path}: {e}"))?;
-            config.zones = config.operator(&path, &text).map_err(|e| format!("operator's file {e}"))?;
+            config.plans =
+                config.operator(&path, &text).map_err(|e| format!("operator's file {}", e.join("; ")))?;
         }
         Ok(config)
     }
 
-    /// What an operator's file says of zones, for this driver.
-    pub fn operator(&self, file: &str, text: &str) -> Result<Option<Policy>, String> {
-        let operator = parse(file, text).map_err(|e| e.to_string())?;
-        let Some(zones) = operator.zones else { return Ok(None) };
-        let names = &self.settings.dialect.zones;
-        let policy = beaconshore_operator::zones(file, text, &zones, names).map_err(|e| e.to_string())?;
-        // Drivers are numbered as in the list of peers; one that is not in it, or may not talk, lends nothing.
-        let talks = self.settings.settings.limits.peer_messages;
-        let number = self.peers.iter().position(|peer| Some(*peer) == self.peer_listen);
-        Ok(Some(Policy { number: number.filter(|_| talks).map(|n| n as u32), ..policy }))
+    /// What an operator's file says, for this driver; else everything that is wrong with it.
+    pub fn operator(&self, file: &str, text: &str) -> Result<Plans, Vec<String>> {
+        let operator = parse(file, text).map_err(|e| vec![e.to_string()])?;
+        let (settings, dialect) = (&self.settings.settings, &self.settings.dialect);
+        let mut plans = Plans { classes: dialect.classes.clone(), ..Plans::default() };
+        let mut problems = Vec::new();
+        if let Some(zones) = &operator.zones {
+            // Drivers are numbered as in the list of peers; one that is not in it, or may not talk, lends nothing.
+            let number = self.peers.iter().position(|peer| Some(*peer) == self.peer_listen);
+            let number = number.filter(|_| settings.limits.peer_messages).map(|n| n as u32);
+            match beaconshore_operator::zones(file, text, zones, &dialect.zones) {
+                Ok(policy) => plans.zones = Some(Policy { number, ..policy }),
+                Err(problem) => problems.push(problem),
+            }
+        }
+        if let Some(routes) = &operator.routes {
+            match beaconshore_operator::routes(
+                file,
+                text,
+                routes,
+                settings,
+                (&dialect.classes, &dialect.zones),
+            ) {
+                Ok(policy) => plans.routes = Some(policy),
+                Err(found) => problems.extend(found),
+            }
+        }
+        if problems.is_empty() {
+            Ok(plans)
+        } else {
+            Err(problems.iter().map(ToString::to_string).collect())
+        }
     }
 
     /// What another configuration changes that only a new start brings about.
@@ -106,7 +130,7 @@
             ("limits", self.limits != other.limits),
             ("peers", peers(self) != peers(other)),
             ("settings", self.settings != other.settings),
-            ("the operator's zones", self.zones != other.zones),
+            ("the operator's file", self.plans != other.plans),
         ];
         changes.into_iter().filter(|(_, changed)| *changed).map(|(name, _)| name).collect()
     }
--- a/crates/driver/src/module.rs
+++ b/crates/driver/src/module.rs
@@ -170,8 +170,8 @@
         let (word_sender, words) = async_channel::bounded(DATAGRAMS);
         let handle = ModuleHandle { mail: mail_sender, lists: list_sender, words: word_sender };
         let router = {
-            let (settings, zones) = (node.site.settings.clone(), config.zones.clone());
-            Steering::new(settings, zones, config.seed, node.clock.now())
+            let (settings, plans) = (node.site.settings.clone(), config.plans.clone());
+            Steering::new(settings, plans, config.seed, node.clock.now())
         };
         let (open, members, ids, listed, due, swept) = Default::default();
         let (peers, given) = (peers.map(Peers::mailbox), handle.clone());
--- a/crates/driver/tests/parsers.rs
+++ b/crates/driver/tests/parsers.rs
@@ -356,7 +356,7 @@
 fn the_shipped_configuration_and_operators_file_fit_each_other() {
     let config = Config::parse(include_bytes!("../../../deploy/driver.json")).unwrap();
     let text = include_str!("../../../deploy/operator.textproto");
-    let zones = config.operator("operator.textproto", text).unwrap().unwrap();
+    let zones = config.operator("operator.textproto", text).unwrap().zones.unwrap();
     assert_eq!(
         (zones.zones.len(), zones.number),
         (3, None),
--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -121,6 +121,7 @@
             },
             rules: rules.0,
         };
+        let routes = self.read_routes(&settings, &classes)?;
         Ok(Plan {
             name: e.name.clone(),
             purpose: e.purpose.clone(),
@@ -135,6 +136,7 @@
             classes,
             clients,
             routers,
+            routes,
             discovery: self.discovery()?,
             drain: rules.1,
             settings,
@@ -143,6 +145,18 @@
         })
     }
 
+    fn read_routes(
+        &self,
+        settings: &Settings,
+        classes: &[ClassPlan],
+    ) -> Result<Option<beaconshore_routes::Policy>, Problem> {
+        let Some(routes) = &self.e.routes else { return Ok(None) };
+        let classes: Vec<String> = classes.iter().map(|c| c.name.clone()).collect();
+        let zones: Vec<String> = self.e.zone.iter().map(|z| z.name.clone()).collect();
+        let read = beaconshore_operator::routes(self.file, self.text, routes, settings, (&classes, &zones));
+        read.map(Some).map_err(|mut problems| problems.remove(0))
+    }
+
     fn delays(&self) -> Result<Vec<Vec<f64>>, Problem> {
         let e = self.e;
         let usual = self.within("round_trip_ms", e.round_trip_ms.unwrap_or(2.0), 0.01, 1_000.0)?;
--- a/crates/emulator/src/plan.rs
+++ b/crates/emulator/src/plan.rs
@@ -212,6 +212,8 @@
     pub settings: Settings,
     /// What operators say of zones.
     pub policy: Option<Policy>,
+    /// What operators say of routes.
+    pub routes: Option<beaconshore_routes::Policy>,
     /// Faults.
     pub strikes: Vec<Strike>,
 }
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -6,7 +6,7 @@
     Action, Consistency, Ended, Entry, Event, GroupId, ListKind, Listed, MemberId, Micros, Note, Outcome,
     Report, Request, RequestId, Role, SessionId, Settings, Talk, Word, ZoneId,
 };
-use beaconshore_steering::Steering;
+use beaconshore_steering::{Plans, Steering};
 use beaconshore_zones::Policy;
 
 use crate::audit::Audit;
@@ -414,15 +414,18 @@
         process.idle.iter_mut().for_each(Vec::clear);
         process.open.clear();
         let settings = Settings { zone: ZoneId(process.zone as u16), ..self.plan.settings.clone() };
-        let policy = match self.brains {
-            Brains::Planned => {
-                Some(self.plan.policy.clone().map(|p| Policy { number: Some(router as u32), ..p }))
-            }
-            Brains::Plain => Some(None),
+        let number = Some(router as u32);
+        let plans = match self.brains {
+            Brains::Planned => Some(Plans {
+                zones: self.plan.policy.clone().map(|p| Policy { number, ..p }),
+                routes: self.plan.routes.clone(),
+                classes: self.plan.classes.iter().map(|c| c.name.clone()).collect(),
+            }),
+            Brains::Plain => Some(Plans::default()),
             _ => None,
         };
         let seed = self.seed ^ ((router as u64) << 32 | u64::from(epoch)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        process.steering = policy.map(|policy| Box::new(Steering::new(settings, policy, seed, now)));
+        process.steering = plans.map(|plans| Box::new(Steering::new(settings, plans, seed, now)));
         self.audit.restarted(router);
         let known = std::mem::take(&mut self.routers[router].known);
         self.news(router, ListKind::Cached, &known);
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -2,9 +2,11 @@
 //! defaults, and the errors, which name file, line, column, reason and remedy. Opens no file itself, keeps
 //! nothing, and decides nothing: what it reads becomes the policies of other packages.
 
+mod routes;
 pub mod text;
 mod zones;
 
+pub use routes::routes;
 pub use zones::zones;
 
 /// The messages of the schema.
--- /dev/null
+++ b/crates/operator/src/routes.rs
@@ -0,0 +1,159 @@
+//! What the file says of routes, as their director's policy; all findings at once.
+
+use std::num::NonZeroU32;
+
+use beaconshore::interface::{Micros, Settings, ZoneId};
+use beaconshore_routes::expression::Match;
+use beaconshore_routes::policy::{OpenLimit, Pause, Policy, RateLimit, Route};
+
+use crate::proto;
+use crate::text::{impossible, Problem};
+
+/// The least burst where none is stated: a tenth of a second's requests.
+const BURST: u32 = 10;
+
+/// The policy that a file's `routes` describe, at a site of these settings whose classes and zones have these names.
+pub fn routes(
+    file: &str,
+    text: &str,
+    routes: &proto::Routes,
+    settings: &Settings,
+    (classes, zones): (&[String], &[String]),
+) -> Result<Policy, Vec<Problem>> {
+    let mut problems = Vec::new();
+    let mut policy = Policy { routes: Vec::with_capacity(routes.route.len()), open: routes.open };
+    for (i, route) in routes.route.iter().enumerate() {
+        let mut wrong = |field: &str, reason: String| {
+            problems.push(impossible(file, text, &format!("routes.route[{i}].{field}"), &reason));
+        };
+        let matches = Match::read(&route.r#match).unwrap_or_else(|e| {
+            wrong("match", e.to_string());
+            // Matches nothing, so that no finding follows from it.
+            Match::Not(Box::new(Match::Always))
+        });
+        let read = read(route, matches, zones, &mut wrong);
+        policy.routes.push(read);
+    }
+    for finding in policy.findings(settings, classes) {
+        problems.push(impossible(file, text, &format!("routes.{}", finding.field), &finding.reason));
+    }
+    if problems.is_empty() {
+        Ok(policy)
+    } else {
+        Err(problems)
+    }
+}
+
+fn read(
+    route: &proto::Route,
+    matches: Match,
+    zones: &[String],
+    wrong: &mut dyn FnMut(&str, String),
+) -> Route {
+    let micros = |ms: u64| -> Micros { ms.saturating_mul(1000) };
+    let mut numbers = Vec::new();
+    for (n, name) in route.zone.iter().enumerate() {
+        match zones.iter().position(|z| z == name) {
+            Some(zone) => numbers.push(ZoneId(zone as u16)),
+            None => wrong(
+                &format!("zone[{n}]"),
+                format!("no zone {name:?}; the settings name {}", zones.join(", ")),
+            ),
+        }
+    }
+    let rate = route.rate.and_then(|rate| {
+        let burst = rate.burst.unwrap_or((rate.per_second / BURST).max(1));
+        let limit = NonZeroU32::new(rate.per_second).zip(NonZeroU32::new(burst));
+        if limit.is_none() {
+            wrong("rate", "0 would admit nothing; 1 or more".into());
+        }
+        limit.map(|(per_second, burst)| RateLimit { per_second, burst })
+    });
+    Route {
+        budget: route.budget_ms.map(micros),
+        attempt: route.attempt_ms.map(micros),
+        attempts: route.attempts,
+        pause: route.pause.map(|p| Pause { least: micros(p.least_ms), most: micros(p.most_ms) }),
+        repeats: route.repeats.map(|r| (r.share, r.floor.unwrap_or(1.0))),
+        rate,
+        open: route.open.map(|o| OpenLimit {
+            least: o.least.unwrap_or(4),
+            most: o.most.unwrap_or(1000),
+            tolerance: o.tolerance.unwrap_or(2.0),
+        }),
+        weight: route.weight.unwrap_or(1.0),
+        staleness: route.staleness_ms.map(micros),
+        zones: numbers,
+        ..Route::new(&route.name, matches)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::parse;
+    use beaconshore::interface::{Class, Consistency, DedupScope, Effect, Limits};
+
+    fn read_text(text: &str) -> Result<Policy, Vec<String>> {
+        let class = |consistency, effect| Class {
+            consistency,
+            effect,
+            aim: 250_000,
+            deadline: 1_000_000,
+            worth: 1.0,
+            late_worth: 0.0,
+        };
+        let keyed = Effect::Keyed(DedupScope::Group, 800_000);
+        let classes =
+            vec![class(Consistency::Bounded(200_000), Effect::Safe), class(Consistency::Write, keyed)];
+        let settings = Settings {
+            classes,
+            limits: Limits { max_attempts: 8, ..Limits::default() },
+            ..Settings::default()
+        };
+        let file = parse("op", text).map_err(|e| vec![e.to_string()])?;
+        let names: [Vec<String>; 2] =
+            [["view", "log"].map(String::from).into(), vec!["a".into(), "b".into()]];
+        routes("op", text, &file.routes.unwrap(), &settings, (&names[0], &names[1]))
+            .map_err(|found| found.iter().map(ToString::to_string).collect())
+    }
+
+    #[test]
+    fn fields_reach_the_policy_and_defaults_fill_the_rest() {
+        let text =
+            "routes { open: 9 route { name: 'v' match: 'class == \"view\"' budget_ms: 900 attempt_ms: 200
+            rate { per_second: 50 } open { most: 7 } repeats { share: 0.2 } zone: 'b' } }";
+        let policy = read_text(text).unwrap();
+        let route = &policy.routes[0];
+        assert_eq!((policy.open, route.budget, route.attempt), (Some(9), Some(900_000), Some(200_000)));
+        assert_eq!(route.rate.unwrap().burst.get(), 5);
+        assert_eq!(route.open, Some(OpenLimit { least: 4, most: 7, tolerance: 2.0 }));
+        assert_eq!((route.repeats, &route.zones[..]), (Some((0.2, 1.0)), &[ZoneId(1)][..]));
+    }
+
+    #[test]
+    fn all_that_is_wrong_is_told_at_once_and_where() {
+        let text = "routes {
+  route { name: 'v' match: 'class = \"view\"' }
+  route { name: 'w' match: 'class == \"log\"' attempts: 4 attempt_ms: 300 zone: 'q' }
+  route {
+    name: 'v'
+    match: 'always' budget_ms: 1500 rate { per_second: 0 }
+  }
+}";
+        let said = read_text(text).unwrap_err();
+        let expected = [
+            "op:2:21: routes.route[0].match: expected == or in\n  class = \"view\"\n        ^",
+            "op:3:73: routes.route[1].zone[0]: no zone \"q\"; the settings name a, b",
+            "op:6:37: routes.route[2].rate: 0 would admit nothing",
+            "op:3:45: routes.route[1].attempts: the last one may begin 900 ms after the first",
+            "op:5:5: routes.route[2].name: route[0] has the same name",
+            "op:6:21: routes.route[2].budget_ms: is 1500 ms, clients of \"view\" wait 1000 ms at most",
+            "op:6:21: routes.route[2].budget_ms: is 1500 ms, clients of \"log\" wait 1000 ms at most",
+        ];
+        assert_eq!(said.len(), expected.len(), "{said:#?}");
+        for (said, expected) in said.iter().zip(expected) {
+            assert!(said.starts_with(expected), "{said}\n{expected}");
+        }
+    }
+}
--- a/crates/steering/benches/cost.rs
+++ b/crates/steering/benches/cost.rs
@@ -4,7 +4,7 @@
 #![allow(missing_docs)] // What the benchmark's macros make.
 
 use beaconshore::interface::*;
-use beaconshore_steering::Steering;
+use beaconshore_steering::{Plans, Steering};
 use beaconshore_zones::policy::{Policy, ZonePolicy};
 use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
 
@@ -58,7 +58,7 @@
 
 impl Stage {
     fn new(members: u32, policy: Option<Policy>) -> Stage {
-        let mut steering = Steering::new(settings(), policy, 7, START);
+        let mut steering = Steering::new(settings(), Plans { zones: policy, ..Plans::default() }, 7, START);
         let entry = |m: u32| Entry {
             member: MemberId(m),
             group: GroupId(m / 3),
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -3,44 +3,136 @@
 //!
 //! Without planners it hands events through: the same actions for the same events as the module alone.
 
-use beaconshore::interface::{Action, Event, MemberId, Micros, RequestId, Settings};
+use beaconshore::interface::{Action, Event, MemberId, Micros, Outcome, Request, RequestId, Settings};
 use beaconshore::sizes::Sizes;
 use beaconshore::Router;
+use beaconshore_routes::director::{facts, Again, Counts, Over, Verdict};
+use beaconshore_routes::expression::Facts;
+use beaconshore_routes::Director;
 use beaconshore_zones::planner::ZoneStatus;
-use beaconshore_zones::{Planner, Policy};
+use beaconshore_zones::Planner;
+
+/// What operators say; the default plans nothing.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plans {
+    /// Of zones.
+    pub zones: Option<beaconshore_zones::Policy>,
+    /// Of routes.
+    pub routes: Option<beaconshore_routes::Policy>,
+    /// Names of the classes, by index: routes go by them.
+    pub classes: Vec<String>,
+}
 
 /// A router with its planners.
 pub struct Steering {
     router: Router,
     zones: Option<Planner>,
+    routes: Option<Routes>,
+}
+
+struct Routes {
+    director: Director,
+    settings: Settings,
+    classes: Vec<String>,
 }
 
 impl Steering {
-    /// A router that knows nothing but its settings; with a policy on zones, one that plans for them.
-    pub fn new(settings: Settings, zones: Option<Policy>, seed: u64, now: Micros) -> Self {
+    /// A router that knows nothing but its settings, and plans as its operators say.
+    pub fn new(settings: Settings, plans: Plans, seed: u64, now: Micros) -> Self {
+        let Plans { zones, routes, classes } = plans;
         let zones = zones.map(|policy| Planner::new(policy, &settings, now));
-        Steering { router: Router::new(settings, seed, now), zones }
+        let director = |policy| Director::new(policy, seed, now);
+        let routes =
+            routes.map(|policy| Routes { director: director(policy), settings: settings.clone(), classes });
+        Steering { router: Router::new(settings, seed, now), zones, routes }
     }
 
     /// Takes one event and adds what is to be done about it.
     pub fn handle(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>) {
-        let Some(zones) = &mut self.zones else { return self.router.handle(now, event, out) };
-        zones.on_event(now, event);
-        // What the list or the clock changes for zones holds for this event already.
-        if matches!(event, Event::Timer) {
-            Self::advise(&mut self.router, zones, now, out);
+        let Some(routes) = &mut self.routes else { return self.plan(now, event, out) };
+        match event {
+            Event::Request(request) => {
+                let facts = facts(request, &routes.settings, &routes.classes);
+                let verdict = routes.director.on_request(request.id, &facts, request.budget, now);
+                self.admit(now, request, verdict, out);
+            }
+            Event::AttemptEnded(ended) => {
+                if ended.outcome != Outcome::Served && !ended.finished {
+                    let rest = match routes.director.on_failed(ended.request, ended.outcome, now) {
+                        Again::At(at) if at <= now => None,
+                        Again::At(at) => Some(Event::Rest(ended.request, Some(at))),
+                        Again::Never => Some(Event::Rest(ended.request, None)),
+                    };
+                    rest.into_iter().for_each(|rest| self.plan(now, &rest, out));
+                } else {
+                    let over = if ended.outcome == Outcome::Served { Over::Served } else { Over::Unserved };
+                    routes.director.on_over(ended.request, over, now);
+                }
+                self.plan(now, event, out);
+            }
+            Event::HungUp(request) => {
+                routes.director.on_over(*request, Over::Left, now);
+                self.plan(now, event, out);
+            }
+            _ => self.plan(now, event, out),
         }
-        let from = out.len();
-        self.router.handle(now, event, out);
-        zones.on_actions(now, &out[from..], |class| self.router.work(class));
-        if matches!(event, Event::List(..)) {
-            Self::advise(&mut self.router, zones, now, out);
+    }
+
+    /// Takes a request whose front knows more of it than the event holds.
+    pub fn request(&mut self, now: Micros, request: &Request, facts: &Facts, out: &mut Vec<Action>) {
+        let Some(routes) = &mut self.routes else {
+            return self.plan(now, &Event::Request(request.clone()), out);
+        };
+        let verdict = routes.director.on_request(request.id, facts, request.budget, now);
+        self.admit(now, request, verdict, out);
+    }
+
+    fn admit(&mut self, now: Micros, request: &Request, verdict: Verdict, out: &mut Vec<Action>) {
+        match verdict {
+            Verdict::Admit(budget, narrow) => {
+                let request = Request { budget, ..request.clone() };
+                self.plan(now, &Event::Narrowed(request, narrow), out);
+            }
+            // What never reached the module has not run: trying again is harmless.
+            Verdict::TurnAway(_, after) => {
+                let limits = self.routes.as_ref().map(|r| &r.settings.limits);
+                let most = limits.filter(|l| l.retry_after).map_or(0, |l| l.max_retry_after);
+                out.push(Action::Refuse { request: request.id, retry_after: after.min(most) });
+            }
+        }
+    }
+
+    /// The planner of zones, and the module.
+    fn plan(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>) {
+        let begun = out.len();
+        match &mut self.zones {
+            None => self.router.handle(now, event, out),
+            Some(zones) => {
+                zones.on_event(now, event);
+                // What the list or the clock changes for zones holds for this event already.
+                if matches!(event, Event::Timer) {
+                    Self::advise(&mut self.router, zones, now, out);
+                }
+                let from = out.len();
+                self.router.handle(now, event, out);
+                zones.on_actions(now, &out[from..], |class| self.router.work(class));
+                if matches!(event, Event::List(..)) {
+                    Self::advise(&mut self.router, zones, now, out);
+                }
+            }
+        }
+        if let Some(routes) = &mut self.routes {
+            for action in &out[begun..] {
+                if let Action::Refuse { request, .. } | Action::Fail(request) = action {
+                    routes.director.on_over(*request, Over::Unserved, now);
+                }
+            }
         }
     }
 
     fn advise(router: &mut Router, zones: &mut Planner, now: Micros, out: &mut Vec<Action>) {
-        let (advice, probes) = zones.advise(now);
-        out.extend(probes);
+        let (advice, due) = zones.advise(now);
+        out.extend(due);
         if let Some(advice) = advice {
             let from = out.len();
             router.handle(now, &Event::Advice(&advice), out);
@@ -49,6 +141,13 @@
         out.extend(zones.changes().into_iter().map(Action::Log));
     }
 
+    /// New routes take the place of those in force, as a whole; requests that were taken go on by the old ones.
+    pub fn reload_routes(&mut self, policy: beaconshore_routes::Policy, now: Micros) {
+        if let Some(routes) = &mut self.routes {
+            routes.director.reload(policy, now);
+        }
+    }
+
     /// Asked where a send had to wait: whether it may still go out.
     pub fn confirm(&mut self, now: Micros, request: RequestId, to: MemberId) -> bool {
         self.router.confirm(now, request, to)
@@ -59,11 +158,21 @@
         self.zones.as_mut().map_or_else(Vec::new, |zones| zones.status(now))
     }
 
+    /// What each route did, by name; empty without any.
+    pub fn routes(&self) -> Vec<(&str, Counts)> {
+        self.routes.as_ref().map_or_else(Vec::new, |routes| routes.director.counts())
+    }
+
     /// The sizes of the planners' tables: members, groups, requests.
     pub fn planned(&self) -> Option<(usize, usize, usize)> {
         self.zones.as_ref().map(Planner::sizes)
     }
 
+    /// Requests that routes follow.
+    pub fn routed(&self) -> usize {
+        self.routes.as_ref().map_or(0, |routes| routes.director.held())
+    }
+
     /// The sizes of the router's tables.
     pub fn sizes(&self) -> Sizes {
         self.router.sizes()
--- a/crates/steering/tests/passes_through.rs
+++ b/crates/steering/tests/passes_through.rs
@@ -2,7 +2,7 @@
 
 use beaconshore::interface::*;
 use beaconshore::Router;
-use beaconshore_steering::Steering;
+use beaconshore_steering::{Plans, Steering};
 use beaconshore_zones::Policy;
 
 const MS: Micros = 1_000;
@@ -155,7 +155,7 @@
 fn without_planners_it_acts_as_the_module_alone() {
     for seed in 0..20 {
         let mut router = Router::new(settings(), seed, START);
-        let mut steering = Steering::new(settings(), None, seed, START);
+        let mut steering = Steering::new(settings(), Plans::default(), seed, START);
         let alone = |now: Micros, event: &Event| {
             let mut actions = Vec::new();
             router.handle(now, event, &mut actions);
@@ -176,7 +176,12 @@
 #[test]
 fn planners_give_back_what_they_hold() {
     for seed in 0..10 {
-        let mut steering = Steering::new(settings(), Some(Policy::default()), seed, START);
+        let mut steering = Steering::new(
+            settings(),
+            Plans { zones: Some(Policy::default()), ..Plans::default() },
+            seed,
+            START,
+        );
         let mut last = START;
         let mut held = 0;
         let first = |now: Micros, event: &Event| {
--- a/crates/zones/src/planner.rs
+++ b/crates/zones/src/planner.rs
@@ -151,7 +151,7 @@
     pub fn on_event(&mut self, now: Micros, event: &Event) {
         match event {
             Event::List(kind, entries) => self.on_list(*kind, entries, now),
-            Event::Request(request) if self.requests.len() < MOST_REQUESTS => {
+            Event::Request(request) | Event::Narrowed(request, _) if self.requests.len() < MOST_REQUESTS => {
                 self.requests.insert(request.id, (request.class, request.group));
             }
             Event::AttemptEnded(ended) => {
@@ -194,7 +194,7 @@
             }
             Event::HungUp(request) => drop(self.requests.remove(request)),
             Event::Talk(from, talks) => self.on_talk(*from, talks, now),
-            Event::Request(_) | Event::Advice(_) | Event::Timer => {}
+            Event::Request(_) | Event::Narrowed(..) | Event::Rest(..) | Event::Advice(_) | Event::Timer => {}
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -352,6 +352,25 @@
     pub last_write_ago: Option<Micros>,
 }
 
+/// How a request's route narrows what a router may do for it. The default narrows nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Narrow {
+    /// Attempts.
+    pub attempts: u32,
+    /// Time for an attempt; 0: what is left.
+    pub attempt: Micros,
+    /// Oldest data of a bounded read, where its class allows older.
+    pub staleness: Micros,
+    /// Zones whose members its reads may use, a bit for each.
+    pub zones: u64,
+}
+
+impl Default for Narrow {
+    fn default() -> Self {
+        Narrow { attempts: u32::MAX, attempt: 0, staleness: Micros::MAX, zones: u64::MAX }
+    }
+}
+
 /// The end of an attempt.
 #[derive(Clone, Debug)]
 pub struct Ended {
@@ -378,6 +397,11 @@
     List(ListKind, &'a [Entry]),
     /// A request.
     Request(Request),
+    /// A request that its route narrows.
+    Narrowed(Request, Narrow),
+    /// What is to be heeded at the end of an open request's attempt, told right before that: no further one before
+    /// this time, or none at all.
+    Rest(RequestId, Option<Micros>),
     /// The end of an attempt.
     AttemptEnded(Ended),
     /// The end of a probe.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -107,6 +107,8 @@
     floor: Micros,       // Position that a member must have reached to serve it (sessions).
     out: Option<Micros>, // When the attempt that is out was sent.
     tried: Vec<MemberId>,
+    narrow: Narrow, // By its route: this is heeded beside all else, never instead.
+    rests: Micros,  // No attempt before this time.
     risk: Option<(Micros, MemberId)>, // First send that may have run, and where.
 }
 
@@ -155,7 +157,9 @@
         self.now = now;
         match event {
             Event::List(kind, entries) => self.on_list(*kind, entries, out),
-            Event::Request(request) => self.on_request(request, out),
+            Event::Request(request) => self.on_request(request, Narrow::default(), out),
+            Event::Narrowed(request, narrow) => self.on_request(request, *narrow, out),
+            Event::Rest(request, until) => self.on_rest(*request, *until),
             Event::AttemptEnded(ended) => self.on_outcome(ended, out),
             Event::ProbeEnded { member, outcome, report } => self.on_probe(*member, *outcome, report, out),
             Event::Told(words) => words.iter().for_each(|word| self.on_word(word)),
@@ -244,12 +248,15 @@
     fn admits(&self, held: &Held, m: &Member) -> bool {
         let bound =
             matches!(self.settings.classes[held.class].consistency, Consistency::Write | Consistency::Fresh);
-        let Some(word) = self.zones.get(&m.zone).filter(|_| !bound) else { return true };
+        let allowed = bound || held.narrow.zones >> u32::from(m.zone.0).min(63) & 1 == 1;
+        let Some(word) = self.zones.get(&m.zone).filter(|_| !bound) else { return allowed };
         let lot = share_of(held.lot ^ u64::from(word.zone.0) << 32);
         let work = self.services[held.class].base;
         let fits = |s: &Spill| s.credit >= work && s.shares.get(held.class).is_none_or(|share| lot < *share);
         // The lot by which cold and silent members are tried: shares of one request are not multiplied.
-        self.lot(held, m) < word.share && (!self.spills(held, m.zone) || word.spill.as_ref().is_none_or(fits))
+        allowed
+            && self.lot(held, m) < word.share
+            && (!self.spills(held, m.zone) || word.spill.as_ref().is_none_or(fits))
     }
 
     /// Whether planners' words alone keep a read from all members that could serve it: it need not wait then.
@@ -389,7 +396,7 @@
 
     // ---- Arrival ----
 
-    fn on_request(&mut self, request: &Request, out: &mut Vec<Action>) {
+    fn on_request(&mut self, request: &Request, narrow: Narrow, out: &mut Vec<Action>) {
         if request.class >= self.settings.classes.len() {
             return out.push(Action::Fail(request.id));
         }
@@ -411,13 +418,23 @@
         };
         let spent = repeat && age == 0 && self.settings.classes[class].late_worth == 0.0;
         let arrived = self.now.saturating_sub(age);
-        let held = Held { class, group, session, arrived, ends, half, spent, lot, floor, ..Held::default() };
+        let times = Held { arrived, ends, half, ..Held::default() };
+        let held = Held { class, group, session, spent, lot, floor, narrow, ..times };
         self.probe_for(&held, out);
         self.held.insert(request.id, held);
         self.groups.entry(request.group).or_default().asked = self.now;
         self.line_up(request.group, request.id, out);
     }
 
+    /// Its route has another attempt wait, or allows none.
+    fn on_rest(&mut self, id: RequestId, until: Option<Micros>) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        match until {
+            Some(until) => held.rests = until,
+            None => held.narrow.attempts = held.tried.len() as u32,
+        }
+    }
+
     fn line_up(&mut self, group: GroupId, id: RequestId, out: &mut Vec<Action>) {
         self.groups.entry(group).or_default().line.push(id);
         self.busy.insert(group);
@@ -433,7 +450,7 @@
         line.retain(|id| {
             let held = &self.held[id];
             let lapsed = held.arrived < self.now && self.is_hopeless(held);
-            let chosen = if lapsed { None } else { self.choose(held) };
+            let chosen = if lapsed || self.now < held.rests { None } else { self.choose(held) };
             let over = chosen.is_none() && (lapsed || held.spent || self.is_shut_out(held));
             chosen.into_iter().for_each(|member| self.send(*id, member, out));
             over.then(|| self.give_up(*id, out));
@@ -522,8 +539,9 @@
         match self.settings.classes[held.class].consistency {
             // Members that check for themselves are asked on an outdated record too, unless it was of a lag.
             Consistency::Bounded(bound) => {
-                let checks = self.settings.lag_check == LagCheck::Member && m.heard > 0 && !self.lagged(m);
-                checks || self.now <= m.position.saturating_add(bound)
+                let asked = self.settings.lag_check == LagCheck::Member && held.narrow.staleness >= bound;
+                let checks = asked && m.heard > 0 && !self.lagged(m);
+                checks || self.now <= m.position.saturating_add(bound.min(held.narrow.staleness))
             }
             Consistency::Session => m.position >= held.floor,
             Consistency::Any => true,
@@ -630,6 +648,7 @@
         let patience = (service.tail() as Micros).max(class.aim / 2) << held.tried.len();
         let useful = class.late_worth > 0.0 && class.effect != Effect::Unsafe;
         let wait = if useful && self.lost > SCARCE { patience } else { 0 };
+        let wait = [wait, held.narrow.attempt].into_iter().filter(|w| *w > 0).min().unwrap_or(0);
         held.out = Some(now);
         held.tried.push(to);
         m.open.push(Open { request: id, sent: now, class: held.class });
@@ -670,7 +689,7 @@
         let end = if lost && held.tried.is_empty() { held.half } else { held.ends };
         let useful = if class.late_worth > 0.0 { held.ends } else { held.arrived + class.aim };
         let end = end.saturating_sub(2 * self.tick).min(useful.saturating_sub(service.mean as Micros));
-        let spent = held.tried.len() >= self.settings.limits.max_attempts as usize;
+        let spent = held.tried.len() >= self.settings.limits.max_attempts.min(held.narrow.attempts) as usize;
         spent || !self.may_repeat(held, None) || self.now >= end
     }
 
