--- a/crates/driver/tests/command_line.rs
+++ b/crates/driver/tests/command_line.rs
@@ -106,7 +106,7 @@
 #[test]
 fn routes_are_read_again_whole_or_not_at_all_while_requests_are_open() {
     let member = Member::start("s-1", true);
-    let discovery = Discovery::start(&[member.clone()]);
+    let discovery = Discovery::start(std::slice::from_ref(&member));
     let operator = file("reload", "routes { route { name: 'all' match: 'always' } }");
     let driver = Driver::kept(config(&discovery), &operator);
     let mut client = Client::connect(driver.address);
