--- a/crates/driver/src/client.rs
+++ b/crates/driver/src/client.rs
@@ -19,7 +19,7 @@
 use crate::buffer::Buffer;
 use crate::clock::{until, within};
 use crate::descriptors::{Permit, Rank, Rest};
-use crate::module::{Arrival, Mail, ModuleHandle, Statement};
+use crate::module::{Arrival, Login, Mail, ModuleHandle, Statement};
 use crate::pg::{self, sqlstate, Frontend, Opening, Severity};
 use crate::stats::Counter;
 use crate::Node;
@@ -113,6 +113,7 @@
             sender,
             mailbox,
             state: State::New,
+            login: Rc::default(),
             since: Instant::now(),
             useless: 0,
             skipping: false,
@@ -172,6 +173,8 @@
     sender: Sender<ClientMail>,
     mailbox: Receiver<ClientMail>,
     state: State,
+    /// Who its client says to be.
+    login: Rc<Login>,
     /// When the connection began or, once it was of use, its message at hand, or its rest.
     since: Instant,
     /// Messages in a row that were no requests.
@@ -237,6 +240,11 @@
                     }
                 }
                 Ok(Some((opening, length))) => {
+                    if opening == Opening::Startup {
+                        let (user, database) = pg::login(&self.buffer.filled()[..length]);
+                        let address = self.stream.get_ref().peer_addr().ok().map(|peer| peer.ip());
+                        self.login = Rc::new(Login { address, user: user.into(), database: database.into() });
+                    }
                     drop(self.buffer.consume(length));
                     match opening {
                         Opening::Encryption if self.note_useless() => {
@@ -385,6 +393,7 @@
             after: text.after,
             statement: Rc::new(Statement { text: query.into(), wait_at: text.wait_at }),
             client: self.sender.clone(),
+            login: self.login.clone(),
         })
     }
 
--- a/crates/driver/src/module.rs
+++ b/crates/driver/src/module.rs
@@ -2,7 +2,7 @@
 //! events and actions become messages.
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::Instant;
@@ -13,7 +13,7 @@
     Action, Ended, Entry, Event, GroupId, ListKind, Listed, MemberId, Micros, Outcome, Report, Request,
     RequestId, Role, SessionId, Talk, Word, ZoneId,
 };
-use beaconshore_steering::Steering;
+use beaconshore_steering::{Connection, Steering};
 use futures_lite::future;
 use log::{info, warn};
 
@@ -53,6 +53,17 @@
     Confirm(RequestId, MemberId, Sender<bool>),
 }
 
+/// Who a client says to be, for routes to go by; nobody has checked it.
+#[derive(Debug, Default)]
+pub struct Login {
+    /// Its address.
+    pub address: Option<IpAddr>,
+    /// Its user.
+    pub user: Box<str>,
+    /// Its database.
+    pub database: Box<str>,
+}
+
 /// A request as its client's actor read it.
 pub struct Arrival {
     /// Its id here.
@@ -75,6 +86,8 @@
     pub statement: Rc<Statement>,
     /// Where the answer goes.
     pub client: Sender<ClientMail>,
+    /// Who asks.
+    pub login: Rc<Login>,
 }
 
 /// A client's statement, which goes on unchanged but for the time that it may take.
@@ -321,7 +334,7 @@
 
     fn on_request(&mut self, arrival: Arrival) {
         let now = self.node.clock.now();
-        let Arrival { id, class, session, ends, repeat, statement, client, .. } = arrival;
+        let Arrival { id, class, session, ends, repeat, statement, client, login, .. } = arrival;
         let request = Request {
             id,
             class,
@@ -333,9 +346,14 @@
                 .after
                 .map(|ms| now.saturating_sub(self.node.skew.ours(ms.saturating_mul(1000)))),
         };
+        let text = self.router.is_routed().then(|| statement.clone());
         let earlier = self.open.insert(id, Open { client, statement, ends, out: None });
         self.node.stats.check(earlier.is_none(), "a request is taken once");
-        self.handle_at(now, &Event::Request(request));
+        let Some(text) = text else { return self.handle_at(now, &Event::Request(request)) };
+        let connection = Connection { client: login.address, user: &login.user, database: &login.database };
+        let mut actions = Vec::new();
+        self.router.request(now, &request, connection, pg::statement(&text.text), &mut actions);
+        actions.into_iter().for_each(|action| self.perform(now, action));
     }
 
     fn on_hang_up(&mut self, id: RequestId) {
--- a/crates/driver/src/pg.rs
+++ b/crates/driver/src/pg.rs
@@ -116,6 +116,31 @@
     Ok(Some((opening, length)))
 }
 
+/// A name of a startup message longer than this is taken for none: servers cut names at 63 bytes.
+const MAX_NAME: usize = 128;
+
+/// The user and the database that a startup message names; empty where it names none, or none that can be read.
+pub fn login(startup: &[u8]) -> (&str, &str) {
+    let (mut user, mut database) = ("", "");
+    let mut parts = startup.get(8..).unwrap_or_default().split(|b| *b == 0);
+    while let (Some(name), Some(value)) = (parts.next(), parts.next()) {
+        let value = std::str::from_utf8(value).ok().filter(|v| v.len() <= MAX_NAME).unwrap_or("");
+        match name {
+            b"user" => user = value,
+            b"database" => database = value,
+            _ => {}
+        }
+    }
+    // A server takes the user's name for the database's where none is given.
+    (user, if database.is_empty() { user } else { database })
+}
+
+/// A client's statement, without the request comment before it; empty if it is no text.
+pub fn statement(query: &[u8]) -> &str {
+    let end = query.windows(2).position(|w| w == b"*/").map_or(0, |at| at + 2);
+    std::str::from_utf8(&query[end..]).unwrap_or("").trim_start()
+}
+
 /// Whole length of the first message of a connection; 0 as long as it is not known.
 pub fn opening_length(bytes: &[u8]) -> usize {
     be_u32(bytes, 0).map_or(0, |length| length as usize)
--- a/crates/driver/tests/command_line.rs
+++ b/crates/driver/tests/command_line.rs
@@ -140,3 +140,27 @@
     assert!(!driver.counts().contains("breaches"));
     fs::remove_file(operator).unwrap();
 }
+
+#[test]
+fn routes_go_by_user_address_and_statement() {
+    let member = Member::start("s-1", true);
+    let discovery = Discovery::start(std::slice::from_ref(&member));
+    let once = |matches: &str| format!("match: {matches:?} rate {{ per_second: 1 burst: 1 }}");
+    for matches in [
+        "user == \"web\" and database == \"orders\"",
+        "client in 127.0.0.0/8 and statement starts \"select payload\"",
+    ] {
+        let operator = file("facts", &format!("routes {{ route {{ name: 'r' {} }} }}", once(matches)));
+        let driver = Driver::kept(config(&discovery), &operator);
+        let mut client = Client::connect(driver.address);
+        let refused = (0..20).filter(|_| client.ask(&read(1000)).code.as_deref() == Some("53300")).count();
+        assert!(refused >= 17, "{matches}: {refused} of 20 turned away");
+        fs::remove_file(operator).unwrap();
+    }
+    let operator =
+        file("others", &format!("routes {{ route {{ name: 'r' {} }} }}", once("user == \"batch\"")));
+    let driver = Driver::kept(config(&discovery), &operator);
+    let mut client = Client::connect(driver.address);
+    eventually("others are served", || (0..10).all(|_| client.ask(&read(1000)).is_served()));
+    fs::remove_file(operator).unwrap();
+}
--- a/crates/driver/tests/parsers.rs
+++ b/crates/driver/tests/parsers.rs
@@ -364,6 +364,18 @@
     );
 }
 
+#[test]
+fn a_connections_user_and_database_and_a_statement_are_read() {
+    let startup = |pairs: &[u8]| [&[0, 0, 0, 0, 0, 3, 0, 0], pairs].concat();
+    assert_eq!(pg::login(&startup(b"user\0web\0database\0orders\0\0")), ("web", "orders"));
+    assert_eq!(pg::login(&startup(b"application_name\0user\0user\0batch\0\0")), ("batch", "batch"));
+    assert_eq!(pg::login(&startup(b"user\0\xff\xfe\0\0")), ("", ""));
+    assert_eq!(pg::login(&startup(&[b"user\0", &[b'x'; 200][..], b"\0\0"].concat())), ("", ""));
+    assert_eq!(pg::login(&[0; 3]), ("", ""));
+    assert_eq!(pg::statement(b"/* id=1,c=view */ SELECT 1"), "SELECT 1");
+    assert_eq!(pg::statement(b"/* never ends"), "/* never ends");
+}
+
 #[test]
 fn every_snippet_of_the_cookbook_loads() {
     let config = Config::parse(include_bytes!("../../../deploy/driver.json")).unwrap();
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -3,6 +3,8 @@
 //!
 //! Without planners it hands events through: the same actions for the same events as the module alone.
 
+use std::net::IpAddr;
+
 use beaconshore::interface::{Action, Event, MemberId, Micros, Outcome, Request, RequestId, Settings};
 use beaconshore::sizes::Sizes;
 use beaconshore::Router;
@@ -23,6 +25,17 @@
     pub classes: Vec<String>,
 }
 
+/// What a front knows of a request's connection.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Connection<'a> {
+    /// Its client's address.
+    pub client: Option<IpAddr>,
+    /// Its user, as its client says.
+    pub user: &'a str,
+    /// Its database.
+    pub database: &'a str,
+}
+
 /// A router with its planners.
 pub struct Steering {
     router: Router,
@@ -74,15 +87,30 @@
         }
     }
 
-    /// Takes a request whose front knows more of it than the event holds.
-    pub fn request(&mut self, now: Micros, request: &Request, facts: &Facts, out: &mut Vec<Action>) {
+    /// Takes a request whose front knows more of it than the event holds: its connection and its statement.
+    pub fn request(
+        &mut self,
+        now: Micros,
+        request: &Request,
+        connection: Connection,
+        statement: &str,
+        out: &mut Vec<Action>,
+    ) {
         let Some(routes) = &mut self.routes else {
             return self.plan(now, &Event::Request(request.clone()), out);
         };
-        let verdict = routes.on_request(request.id, facts, request.budget, now);
+        let Connection { client, user, database } = connection;
+        let facts =
+            Facts { client, user, database, statement, ..facts(request, &self.settings, &self.classes) };
+        let verdict = routes.on_request(request.id, &facts, request.budget, now);
         self.admit(now, request, verdict, out);
     }
 
+    /// Whether routes are in force: only then fronts need to tell what they know.
+    pub fn is_routed(&self) -> bool {
+        self.routes.is_some()
+    }
+
     fn admit(&mut self, now: Micros, request: &Request, verdict: Verdict, out: &mut Vec<Action>) {
         match verdict {
             Verdict::Admit(budget, narrow) => {
