--- /dev/null
+++ b/crates/routes/benches/matching.rs
@@ -0,0 +1,46 @@
+//! What it costs to find a request's route and to admit it, among 1, 20 and 200 routes.
+
+#![allow(missing_docs)] // What the benchmark's macros make.
+
+use beaconshore::interface::RequestId;
+use beaconshore_routes::director::{Director, Over};
+use beaconshore_routes::expression::{Facts, Match};
+use beaconshore_routes::policy::{Policy, Route};
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+
+const CLASSES: [&str; 4] = ["view", "history", "record", "once"];
+
+/// Routes by class and group, with a budget for repeats each; the last takes the rest.
+fn policy(count: usize) -> Policy {
+    let route = |i: usize| {
+        let text = match i + 1 == count {
+            true => "always".to_owned(),
+            false => format!("class == {:?} and group in [{}..{}]", CLASSES[i % 4], 5 * i, 5 * i + 4),
+        };
+        let matches = Match::read(&text).expect("a match that can be read");
+        Route { repeats: Some((0.1, 1.0)), ..Route::new(&format!("r{i}"), matches) }
+    };
+    Policy { routes: (0..count).map(route).collect(), open: None }
+}
+
+fn cost(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("route");
+    for count in [1, 20, 200] {
+        let mut director = Director::new(policy(count), 7, 0);
+        let mut next = 0_u64;
+        group.bench_function(BenchmarkId::new("admit and end", count), |b| {
+            b.iter(|| {
+                next += 1;
+                let class = CLASSES[next as usize % 4];
+                let facts = Facts { class, group: (next * 7 % 1000) as u32, ..Facts::default() };
+                let verdict = director.on_request(RequestId(next), &facts, 1_000_000, next * 3_700);
+                director.on_over(RequestId(next), Over::Served, next * 3_700 + 40_000);
+                verdict
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, cost);
+criterion_main!(benches);
