One reader of operator's files for explain and diff; the planner keeps the settings alone

Found on reading the change again: explain.rs and diff.rs each read a file and joined its findings; the planner kept its zone beside the settings that hold it, and made a zone's account for every entry of a list only to drop it; one field's documentation spoke of another.

--- a/crates/driver/src/cli/diff.rs
+++ b/crates/driver/src/cli/diff.rs
@@ -6,8 +6,7 @@
 use beaconshore_routes::Route;
 use beaconshore_steering::Plans;
 
-use super::{configuration, text_of};
-use crate::config::Config;
+use super::{configuration, plans};
 
 pub fn run(old: &Path, new: &Path, config: Option<&Path>) -> Result<ExitCode, String> {
     let config = configuration(config)?;
@@ -20,14 +19,6 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn plans(config: &Config, path: &Path) -> Result<Plans, String> {
-    let file = path.display().to_string();
-    config.operator(&file, &text_of(path)?).map_err(|found| {
-        let lines: Vec<String> = found.iter().map(ToString::to_string).collect();
-        lines.join("\n")
-    })
-}
-
 /// A line for each change, by what it does.
 fn changes(old: &Plans, new: &Plans) -> Vec<String> {
     let mut lines = Vec::new();
--- a/crates/driver/src/cli/explain.rs
+++ b/crates/driver/src/cli/explain.rs
@@ -9,7 +9,7 @@
 use beaconshore_routes::Route;
 use clap::Args;
 
-use super::{configuration, text_of};
+use super::{configuration, plans};
 
 /// A request as it is described, and the file that it is held against.
 #[derive(Debug, Args)]
@@ -60,11 +60,7 @@
     }
     let Some(path) = &question.file else { return Err("an operator's file is needed".into()) };
     let config = configuration(question.config.as_deref())?;
-    let (file, text) = (path.display().to_string(), text_of(path)?);
-    let plans = config.operator(&file, &text).map_err(|found| {
-        let lines: Vec<String> = found.iter().map(ToString::to_string).collect();
-        lines.join("\n")
-    })?;
+    let plans = plans(&config, path)?;
     let settings = &config.settings.settings;
     let class = plans.classes.iter().position(|name| *name == question.class);
     let Some(class) = class else {
--- a/crates/driver/src/cli/mod.rs
+++ b/crates/driver/src/cli/mod.rs
@@ -10,6 +10,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+use beaconshore_steering::Plans;
 use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
 
@@ -118,3 +119,12 @@
 fn text_of(path: &Path) -> Result<String, String> {
     fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
 }
+
+/// What an operator's file says; else all that is wrong with it, a line each.
+fn plans(config: &Config, path: &Path) -> Result<Plans, String> {
+    let file = path.display().to_string();
+    config.operator(&file, &text_of(path)?).map_err(|found| {
+        let lines: Vec<String> = found.iter().map(ToString::to_string).collect();
+        lines.join("\n")
+    })
+}
--- a/crates/emulator/src/client.rs
+++ b/crates/emulator/src/client.rs
@@ -25,7 +25,7 @@
     pub pick: u64,
     /// Tries that are left.
     pub left: u32,
-    /// Time that it gives each try, as a share of the deadline.
+    /// Whether it heeds a time to come back.
     pub heeds: bool,
     /// Whether it counts: it came after the day settled.
     pub counts: bool,
--- a/crates/zones/src/lib.rs
+++ b/crates/zones/src/lib.rs
@@ -17,5 +17,5 @@
 pub mod tiers;
 pub mod window;
 
-pub use planner::{Planner, View};
+pub use planner::Planner;
 pub use policy::Policy;
--- a/crates/zones/src/planner.rs
+++ b/crates/zones/src/planner.rs
@@ -39,15 +39,6 @@
 /// Requests that are followed at once; of further ones it is not known what they wanted to spill.
 const MOST_REQUESTS: usize = 65_536;
 
-/// What a planner needs of a router's settings.
-#[derive(Clone, Debug)]
-pub struct View {
-    /// The router's zone.
-    pub zone: ZoneId,
-    /// All of the settings.
-    pub settings: Settings,
-}
-
 /// One zone as it stands, for whoever asks.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ZoneStatus {
@@ -95,7 +86,7 @@
 /// Plans for one router.
 pub struct Planner {
     policy: Policy,
-    view: View,
+    settings: Settings,
     bound: Micros,
     evidence: Evidence,
     tiers: Tiers,
@@ -126,7 +117,7 @@
         Planner {
             policy: Policy { number: policy.number.filter(|_| settings.routers <= MOST_LENDERS), ..policy },
             bound: settings.classes.iter().filter_map(bound).min().unwrap_or(1_000_000),
-            view: View { zone: settings.zone, settings: settings.clone() },
+            settings: settings.clone(),
             evidence: Evidence::default(),
             tiers: Tiers::default(),
             zones: BTreeMap::new(),
@@ -244,7 +235,7 @@
     }
 
     fn is_write(&self, request: RequestId) -> bool {
-        let class = self.requests.get(&request).and_then(|(class, _)| self.view.settings.classes.get(*class));
+        let class = self.requests.get(&request).and_then(|(class, _)| self.settings.classes.get(*class));
         class.is_some_and(|c| c.consistency == Consistency::Write)
     }
 
@@ -267,18 +258,19 @@
             }
             // A router that has forgotten a group needs to be told of it again.
             self.told_homes.remove(&entry.group);
-            let limit = self.limit_of(entry.zone);
-            let zone =
-                Zone { state: State::new(now), account: limit.map(Account::new), seen: Default::default() };
-            self.zones.entry(entry.zone).or_insert(zone);
+            if !self.zones.contains_key(&entry.zone) {
+                let account = self.limit_of(entry.zone).map(Account::new);
+                let zone = Zone { state: State::new(now), account, seen: Assessment::default() };
+                self.zones.insert(entry.zone, zone);
+            }
         }
         self.round_at = now;
     }
 
     /// This router's part of what may spill into a zone in any second, in microseconds of work.
     fn limit_of(&self, zone: ZoneId) -> Option<f64> {
-        let stated = self.policy.of(zone).filter(|z| z.capacity > 0.0 && zone != self.view.zone)?;
-        let outside = self.view.settings.routers.saturating_sub(stated.routers).max(1);
+        let stated = self.policy.of(zone).filter(|z| z.capacity > 0.0 && zone != self.settings.zone)?;
+        let outside = self.settings.routers.saturating_sub(stated.routers).max(1);
         Some(self.policy.spill_share * stated.capacity * WINDOW as f64 / f64::from(outside))
     }
 
@@ -313,7 +305,7 @@
             return;
         }
         self.fitted = now;
-        let reads = (0..self.view.settings.classes.len()).filter(|class| self.is_read(*class));
+        let reads = (0..self.settings.classes.len()).filter(|class| self.is_read(*class));
         let most = reads.map(work).fold(0.0, f64::max);
         let accounts = self.zones.values_mut().filter_map(|z| z.account.as_mut());
         accounts.for_each(|account| account.fit(now, MEAN * most));
@@ -336,7 +328,7 @@
 
     /// A read that has a choice of members.
     fn is_read(&self, class: usize) -> bool {
-        let consistency = self.view.settings.classes.get(class).map(|c| c.consistency);
+        let consistency = self.settings.classes.get(class).map(|c| c.consistency);
         !matches!(consistency, None | Some(Consistency::Write | Consistency::Fresh))
     }
 
@@ -362,7 +354,7 @@
             due.push(Action::Talk(std::mem::take(&mut self.talks)));
         }
         let order: Vec<ZoneId> =
-            self.tiers.order(self.view.zone, self.zones.keys().copied(), &self.policy).to_vec();
+            self.tiers.order(self.settings.zone, self.zones.keys().copied(), &self.policy).to_vec();
         let mut advice = Advice { zones: self.words(&order, now), homes: Vec::new() };
         advice.zones.retain(|word| self.told.get(&word.zone) != Some(word));
         self.told.extend(advice.zones.iter().map(|w| (w.zone, w.clone())));
@@ -408,10 +400,10 @@
     /// A zone that is lost is asked by a few of its members at a time, one on its way back by those that it
     /// needs: what the decision module dropped it asks for rarely.
     fn due_probes(&mut self, now: Micros) -> Vec<Action> {
-        if !self.view.settings.limits.probes {
+        if !self.settings.limits.probes {
             return Vec::new();
         }
-        let rare = PROBE_PAUSE * Micros::from((self.view.settings.routers / PROBING).max(1));
+        let rare = PROBE_PAUSE * Micros::from((self.settings.routers / PROBING).max(1));
         let mut due = Vec::new();
         for (id, zone) in &mut self.zones {
             if *zone.state.phase() == Phase::Well {
@@ -438,7 +430,7 @@
 
     /// The words on all zones, in order of preference: demand that one has no room for goes to the next.
     fn words(&mut self, order: &[ZoneId], now: Micros) -> Vec<ZoneWord> {
-        let classes = &self.view.settings.classes;
+        let classes = &self.settings.classes;
         let mut wishes: Vec<Wish> = (0..classes.len())
             .map(|i| Wish {
                 work: self.demand.of(i),
@@ -449,7 +441,7 @@
         for (tier, id) in order.iter().enumerate() {
             let Some(zone) = self.zones.get_mut(id) else { continue };
             let doubted = zone.state.is_doubted();
-            let rules = &self.view.settings.rules;
+            let rules = &self.settings.rules;
             let share = zone.state.ramp().map_or(1.0, |ramp| ramp.share(&zone.seen, rules, now));
             let spill = zone.account.as_mut().map(|account| {
                 let credit = account.credit(now) / MEAN;
