A large fleet that talks divides its probes; reads in line have replicas asked again

Excluded: shortage of descriptors (97 of 512), processor time (0.04 s in the worst second), late timers (2 us).

Change: `src/scouting.rs` divides what one router finds out and all others are told: at the start, for nearer replicas, in search of a primary as often as three routers would, whatever the fleet's size; a read that needs a replica asks one at a time, nearest and asked longest ago first. Up to three routers, and where none may talk, probing stays as it was. Reads in line ask again. A known primary is told of twice a second. A member that nobody heard of for a second does not count as out of connections.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,6 +5,7 @@
 
 use crate::interface::*;
 use crate::random::{share_of, Random};
+use crate::scouting::Scouting;
 
 /// Pause between rounds of due work, in steps: short against every aim, dear in no site's CPU share.
 const TICK_STEPS: u64 = 2;
@@ -127,6 +128,7 @@
     tick: Micros,
     bound: Micros,
     random: Random,
+    scouting: Scouting,
     now: Micros,
     pub(crate) members: BTreeMap<MemberId, Member>,
     pub(crate) groups: BTreeMap<GroupId, Group>,
@@ -149,7 +151,8 @@
         let bound = settings.classes.iter().map(bound).min().unwrap_or(Micros::MAX);
         let services = settings.classes.iter().map(|c| Service::new(c.aim as f64)).collect();
         let (tick, random) = (settings.step * TICK_STEPS, Random::new(seed));
-        Router { settings, tick, bound, random, now, services, ..Router::default() }
+        let scouting = Scouting::new(&settings);
+        Router { settings, tick, bound, random, scouting, now, services, ..Router::default() }
     }
 
     /// Takes one event and adds what is to be done about it.
@@ -187,8 +190,9 @@
         }
         entries.iter().for_each(|entry| self.on_entry(entry));
         if kind == ListKind::Cached {
-            let all = self.members.keys().map(|id| (*id, 0)).collect();
-            self.probe_all(all, out);
+            let (scouting, random) = (self.scouting, &mut self.random);
+            let mine = self.members.keys().filter(|_| scouting.is_scout(random)).map(|id| (*id, 0)).collect();
+            self.probe_all(mine, out);
             out.push(Action::SetTimer(self.tick));
             out.extend((self.settings.discovery == Discovery::OnRequest).then_some(Action::Subscribe));
         }
@@ -275,10 +279,13 @@
         let sane = position.is_none_or(|p| p <= self.now);
         let Some(m) = self.members.get_mut(&id).filter(|_| sane) else { return };
         let group = self.groups.entry(m.group).or_default();
+        let known = role == Some(Role::Primary) && group.primary.is_some_and(|(p, seen)| p == id && seen > 0);
         if let Some(p) = position.filter(|&p| p >= m.position) {
             (m.position, m.heard) = (p, self.now);
             // Routers that may talk tell each other what none told for a part of the bound: it spares probes.
-            if self.settings.limits.peer_messages && self.now > m.shared.saturating_add(self.bound / NEWS) {
+            // Of a primary that is known as such only its being there is news: reads need no position of it.
+            let period = if known { self.bound.max(PROBE_PERIOD) } else { self.bound };
+            if self.settings.limits.peer_messages && self.now > m.shared.saturating_add(period / NEWS) {
                 m.shared = self.now;
                 self.news.push(Word { member: id, position: p, role });
             }
@@ -330,7 +337,9 @@
             Outcome::Unreachable | Outcome::Reset => m.failures += 1,
             _ => {}
         }
-        self.refused += GAIN * (f64::from(outcome == Outcome::Unreachable) - self.refused);
+        // A member that nobody heard of late is rather dead than out of connections.
+        let alive = !m.dark && now < m.heard.max(m.last_answer).saturating_add(PROBE_PERIOD);
+        self.refused += GAIN * (f64::from(outcome == Outcome::Unreachable && alive) - self.refused);
         self.lost += GAIN / 20.0 * (f64::from(lost) - self.lost);
         // Members that accept few connections are not to have them taken up by idle ones of a whole fleet.
         out.extend((m.open.is_empty() && self.refused > SCARCE).then_some(Action::CloseIdle(id)));
@@ -465,6 +474,7 @@
         self.busy.retain(|id| self.groups.get(id).is_some_and(busy));
         for id in self.busy.iter().copied().collect::<Vec<_>>() {
             self.probe_due(id, out);
+            self.probe_for_line(id, out);
             self.pump(id, out);
         }
     }
@@ -498,9 +508,8 @@
             return Some(suspect.id);
         }
         let responsive = eligible.iter().copied().chain(primary).any(|m| self.is_good(m));
-        // One that was not known to lag is about to say how fresh it is; a fresh router waits for the first.
-        let awaited = |m: &Member| m.probe_out && self.now < m.probe_sent + PROBE_HOLD && !self.lagged(m);
-        if eligible.is_empty() && self.group_members(held.group).any(awaited) {
+        // A fresh router waits for the first that says how fresh it is.
+        if eligible.is_empty() && self.group_members(held.group).any(|m| self.is_awaited(m)) {
             return None;
         }
         // No eligible one has room: the primary, as far as writes spare it.
@@ -746,8 +755,32 @@
         let due = stale.iter().filter(|m| m.heard == 0 || !fresh.iter().any(|f| near(f) || !near(m)));
         // One that lags far needs time to catch up: it is asked less often.
         let pause = |m: &Member| (bound / 2).max(self.now.saturating_sub(m.position) / 4).min(PROBE_PERIOD);
-        let due = due.filter(|m| self.now >= m.heard + pause(m)).map(|m| (m.id, pause(m))).collect();
-        self.probe_all(due, out);
+        let due = due.filter(|m| self.now >= m.heard + pause(m) && !m.probe_out);
+        let mut due: Vec<&Member> = due.copied().collect();
+        // Of a fleet that talks each router finds out its part: new ones, and what its reads can't do without, the
+        // nearest and those asked longest ago first; what would only be better, by lot.
+        due.sort_by_key(|m| (m.heard > 0, self.lagged(m), self.tier(m.zone), m.probe_sent));
+        let needs = fresh.is_empty() || due.first().is_some_and(|m| m.heard == 0);
+        let part = self.scouting.part(due.len());
+        let asked = part < due.len() && self.group_members(held.group).any(|m| self.is_awaited(m));
+        let due = due.into_iter().take(part).map(|m| (m.id, pause(m))).collect();
+        if needs && !asked || !needs && self.scouting.is_scout(&mut self.random) {
+            self.probe_all(due, out);
+        }
+    }
+
+    /// A read that waits in line has replicas probed again: what was asked when it came may have told nothing.
+    fn probe_for_line(&mut self, id: GroupId, out: &mut Vec<Action>) {
+        let read = |id: &&RequestId| self.held.get(id).is_some_and(|held| !self.is_write(held.class));
+        let first = self.groups.get(&id).and_then(|g| g.line.iter().find(read)).copied();
+        let Some((first, held)) = first.and_then(|id| self.held.remove_entry(&id)) else { return };
+        self.probe_for(&held, out);
+        self.held.insert(first, held);
+    }
+
+    /// Whether it is about to say how fresh it is, and was not known to lag.
+    fn is_awaited(&self, m: &Member) -> bool {
+        m.probe_out && self.now < m.probe_sent + PROBE_HOLD && !self.lagged(m)
     }
 
     /// Members in trouble are probed while requests name the group, rarely where that tells no more; all of a
@@ -759,7 +792,7 @@
         let search = (lost && !group.line.is_empty()).then_some(silent / SEARCH_SPREAD);
         let doublings = |m: &Member| m.failures.max(u32::from(m.is_silent() && !m.dark) * DROP_FAILURES);
         let rare = |m| PROBE_PERIOD << doublings(m).min(DROP_FAILURES);
-        let pause = |m| search.map_or(rare(m), |p| p.clamp(SEARCH_PERIOD, PROBE_PERIOD));
+        let pause = |m| search.map_or(rare(m), |p| self.scouting.pause(p.max(SEARCH_PERIOD), PROBE_PERIOD));
         let due = self.group_members(id).filter(|m| lost || !self.is_good(m));
         self.probe_all(due.map(|m| (m.id, pause(m))).collect(), out);
     }
