--- a/crates/driver/tests/common/mod.rs
+++ b/crates/driver/tests/common/mod.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod discovery;
 pub mod driver;
+pub mod links;
 pub mod member;
 
 use std::thread;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -190,8 +190,7 @@
         }
         entries.iter().for_each(|entry| self.on_entry(entry));
         if kind == ListKind::Cached {
-            let (scouting, random) = (self.scouting, &mut self.random);
-            let mine = self.members.keys().filter(|_| scouting.is_scout(random)).map(|id| (*id, 0)).collect();
+            let mine = self.scouting.draw(self.members.keys().map(|id| (*id, 0)), &mut self.random);
             self.probe_all(mine, out);
             out.push(Action::SetTimer(self.tick));
             out.extend((self.settings.discovery == Discovery::OnRequest).then_some(Action::Subscribe));
@@ -751,12 +750,14 @@
         let Consistency::Bounded(bound) = self.settings.classes[held.class].consistency else { return };
         let replicas = self.group_members(held.group).filter(|m| !self.is_primary(m));
         let (fresh, stale): (Vec<&Member>, Vec<&Member>) = replicas.partition(|m| self.is_fresh(held, m));
-        let near = |m: &&Member| self.tier(m.zone) == 0;
-        let due = stale.iter().filter(|m| m.heard == 0 || !fresh.iter().any(|f| near(f) || !near(m)));
+        // The nearest that went stale are asked for while others are fresh too: nobody else would bring them back.
+        let nearest = fresh.iter().chain(&stale).map(|m| self.tier(m.zone)).min();
+        let near = |m: &&&Member| Some(self.tier(m.zone)) == nearest;
+        let least = if fresh.iter().any(|m| near(&m)) { PROBE_PERIOD } else { bound / 2 };
         // One that lags far needs time to catch up: it is asked less often.
-        let pause = |m: &Member| (bound / 2).max(self.now.saturating_sub(m.position) / 4).min(PROBE_PERIOD);
-        let due = due.filter(|m| self.now >= m.heard + pause(m) && !m.probe_out);
-        let mut due: Vec<&Member> = due.copied().collect();
+        let pause = |m: &Member| least.max(self.now.saturating_sub(m.position) / 4).min(PROBE_PERIOD);
+        let due = stale.iter().filter(|m| m.heard == 0 || fresh.is_empty() || near(m));
+        let mut due: Vec<&&Member> = due.filter(|m| self.now >= m.heard + pause(m) && !m.probe_out).collect();
         // Of a fleet that talks each router finds out its part: new ones, and what its reads can't do without, the
         // nearest and those asked longest ago first; what would only be better, by lot.
         due.sort_by_key(|m| (m.heard > 0, self.lagged(m), self.tier(m.zone), m.probe_sent));
--- a/src/scouting.rs
+++ b/src/scouting.rs
@@ -39,6 +39,11 @@
         self.fleet == SCOUTS || random.draw(self.fleet) < SCOUTS
     }
 
+    /// Draws those of which this router finds out: each of them with the chance of being a scout for it.
+    pub fn draw<T>(self, all: impl Iterator<Item = T>, random: &mut Random) -> Vec<T> {
+        all.filter(|_| self.is_scout(random)).collect()
+    }
+
     /// How many of so many members this router asks itself while it can't do without an answer: at least one, for
     /// it may be the only one that is asked for them.
     pub fn part(self, due: usize) -> usize {
@@ -77,7 +82,7 @@
             let mut asked = 0;
             for seed in 0..u64::from(routers) {
                 let mut random = Random::new(seed);
-                asked += (0..120).filter(|_| fleet(routers, true).is_scout(&mut random)).count();
+                asked += fleet(routers, true).draw(0..120, &mut random).len();
             }
             // 360 on average; five standard deviations of chance.
             assert!((265..455).contains(&asked), "{routers} routers asked {asked} times");
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -170,3 +170,25 @@
     let (id, actions) = stage.ask(READ);
     assert_eq!((sent(&actions, id), probes(&actions, 2)), (Some(1), 1));
 }
+
+/// With one replica fresh, reads get along; the other one of its zone would stay idle for good if nobody asked it.
+#[test]
+fn a_replica_that_went_stale_is_asked_once_a_second_while_another_of_its_zone_is_fresh() {
+    let all = [entry(1, 0, true), entry(2, 0, false), entry(3, 0, false), entry(4, 1, false)];
+    let mut stage = Stage::with(settings(), &all);
+    let mut asked = [0; 2];
+    stage.pass(2 * BOUND);
+    for _ in 0..250 {
+        stage.pass(10 * MS);
+        stage.probed(2, stage.now - MS, false);
+        let (id, mut actions) = stage.ask(READ);
+        assert_eq!(sent(&actions, id), Some(2));
+        actions.extend(stage.ended(id, 2, Outcome::Served, stage.note(Role::Replica)));
+        asked = [asked[0] + probes(&actions, 3), asked[1] + probes(&actions, 4)];
+        if probes(&actions, 3) > 0 {
+            stage.probed(3, stage.now - 2 * BOUND, false);
+        }
+    }
+    assert!((2..=3).contains(&asked[0]), "{asked:?} times in two and a half seconds");
+    assert_eq!(asked[1], 0, "a farther one is not missed");
+}
