--- a/src/rules.rs
+++ b/src/rules.rs
@@ -750,7 +750,7 @@
         let Consistency::Bounded(bound) = self.settings.classes[held.class].consistency else { return };
         let replicas = self.group_members(held.group).filter(|m| !self.is_primary(m));
         let (fresh, stale): (Vec<&Member>, Vec<&Member>) = replicas.partition(|m| self.is_fresh(held, m));
-        // The nearest that went stale are asked for while others are fresh too: nobody else would bring them back.
+        // The nearest that went stale are asked while others are fresh too: nobody else brings them back.
         let nearest = fresh.iter().chain(&stale).map(|m| self.tier(m.zone)).min();
         let near = |m: &&&Member| Some(self.tier(m.zone)) == nearest;
         let least = if fresh.iter().any(|m| near(&m)) { PROBE_PERIOD } else { bound / 2 };
@@ -758,7 +758,7 @@
         let pause = |m: &Member| least.max(self.now.saturating_sub(m.position) / 4).min(PROBE_PERIOD);
         let due = stale.iter().filter(|m| m.heard == 0 || fresh.is_empty() || near(m));
         let mut due: Vec<&&Member> = due.filter(|m| self.now >= m.heard + pause(m) && !m.probe_out).collect();
-        // Of a fleet that talks each router finds out its part: new ones, and what its reads can't do without, the
+        // Of a fleet that talks each finds out its part: new ones, and what its reads can't do without, the
         // nearest and those asked longest ago first; what would only be better, by lot.
         due.sort_by_key(|m| (m.heard > 0, self.lagged(m), self.tier(m.zone), m.probe_sent));
         let needs = fresh.is_empty() || due.first().is_some_and(|m| m.heard == 0);
@@ -770,7 +770,7 @@
         }
     }
 
-    /// A read that waits in line has replicas probed again: what was asked when it came may have told nothing.
+    /// A read in line has replicas probed again: what was asked when it came may have told nothing.
     fn probe_for_line(&mut self, id: GroupId, out: &mut Vec<Action>) {
         let read = |id: &&RequestId| self.held.get(id).is_some_and(|held| !self.is_write(held.class));
         let first = self.groups.get(&id).and_then(|g| g.line.iter().find(read)).copied();
