In a large fleet only a replica that may be asked takes the place of others

Found by reading the change: `probe_for` picks one replica by order, then `probe_all` passes it over if it drains or was probed within its pause, and nobody is asked. A draining replica, and a near one whose probes fail, were picked first each time and kept all others from being asked. Fleets of up to three routers pick all and were not hit.

Change: barred replicas, and those asked within their pause, are left out before the pick; the line is searched for a bounded read. `probe_for` takes a request's id, so nothing is taken out of the table and put back.

Measured: three tests in tests/large_fleet.rs, each of which failed before ([0, 0] probes for [0, 1], and 0 for 1).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -428,8 +428,8 @@
         let arrived = self.now.saturating_sub(age);
         let times = Held { arrived, ends, half, ..Held::default() };
         let held = Held { class, group, session, spent, lot, floor, narrow, ..times };
-        self.probe_for(&held, out);
         self.held.insert(request.id, held);
+        self.probe_for(request.id, out);
         self.groups.entry(request.group).or_default().asked = self.now;
         self.line_up(request.group, request.id, out);
     }
@@ -507,7 +507,6 @@
             return Some(suspect.id);
         }
         let responsive = eligible.iter().copied().chain(primary).any(|m| self.is_good(m));
-        // A fresh router waits for the first that says how fresh it is.
         if eligible.is_empty() && self.group_members(held.group).any(|m| self.is_awaited(m)) {
             return None;
         }
@@ -746,9 +745,10 @@
 
     /// A read whose replicas' records have run out has them probed, those of its own zone even while others
     /// are fresh. A record in use is renewed by its answers: probing by the clock would only cost more.
-    fn probe_for(&mut self, held: &Held, out: &mut Vec<Action>) {
+    fn probe_for(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(held) = self.held.get(&id) else { return };
         let Consistency::Bounded(bound) = self.settings.classes[held.class].consistency else { return };
-        let replicas = self.group_members(held.group).filter(|m| !self.is_primary(m));
+        let replicas = self.group_members(held.group).filter(|m| !m.barred && !self.is_primary(m));
         let (fresh, stale): (Vec<&Member>, Vec<&Member>) = replicas.partition(|m| self.is_fresh(held, m));
         // The nearest that went stale are asked while others are fresh too: nobody else brings them back.
         let nearest = fresh.iter().chain(&stale).map(|m| self.tier(m.zone)).min();
@@ -757,9 +757,9 @@
         // One that lags far needs time to catch up: it is asked less often.
         let pause = |m: &Member| least.max(self.now.saturating_sub(m.position) / 4).min(PROBE_PERIOD);
         let due = stale.iter().filter(|m| m.heard == 0 || fresh.is_empty() || near(m));
-        let mut due: Vec<&&Member> = due.filter(|m| self.now >= m.heard + pause(m) && !m.probe_out).collect();
-        // Of a fleet that talks each finds out its part: new ones, and what its reads can't do without, the
-        // nearest and those asked longest ago first; what would only be better, by lot.
+        // Each of a fleet takes its part of those that may be asked: new ones, then the nearest; or by lot.
+        let ripe = |m: &&&Member| !m.probe_out && self.now >= m.heard.max(m.probe_sent) + pause(m);
+        let mut due: Vec<&&Member> = due.filter(ripe).collect();
         due.sort_by_key(|m| (m.heard > 0, self.lagged(m), self.tier(m.zone), m.probe_sent));
         let needs = fresh.is_empty() || due.first().is_some_and(|m| m.heard == 0);
         let part = self.scouting.part(due.len());
@@ -772,14 +772,14 @@
 
     /// A read in line has replicas probed again: what was asked when it came may have told nothing.
     fn probe_for_line(&mut self, id: GroupId, out: &mut Vec<Action>) {
-        let read = |id: &&RequestId| self.held.get(id).is_some_and(|held| !self.is_write(held.class));
+        let bounded =
+            |h: &Held| matches!(self.settings.classes[h.class].consistency, Consistency::Bounded(_));
+        let read = |id: &&RequestId| self.held.get(id).is_some_and(bounded);
         let first = self.groups.get(&id).and_then(|g| g.line.iter().find(read)).copied();
-        let Some((first, held)) = first.and_then(|id| self.held.remove_entry(&id)) else { return };
-        self.probe_for(&held, out);
-        self.held.insert(first, held);
+        first.into_iter().for_each(|id| self.probe_for(id, out));
     }
 
-    /// Whether it is about to say how fresh it is, and was not known to lag.
+    /// Whether it is about to say how fresh it is, and was not known to lag: reads wait for the first.
     fn is_awaited(&self, m: &Member) -> bool {
         m.probe_out && self.now < m.probe_sent + PROBE_HOLD && !self.lagged(m)
     }
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -67,6 +67,54 @@
     assert_eq!(sent(&actions, id), Some(3));
 }
 
+/// A router of a large fleet, whose members were all heard of and have since run out of their bound.
+fn with_stale_records(settings: Settings, list: &[Entry]) -> Stage {
+    let (mut stage, _) = Stage::seeded(1, settings, list);
+    for e in list {
+        told(&mut stage, e.member.0, if e.primary { Role::Primary } else { Role::Replica });
+    }
+    stage.now += 2 * BOUND;
+    stage
+}
+
+/// Only one is asked at a time: it must be one that may be asked.
+#[test]
+fn a_replica_that_drains_does_not_take_the_place_of_one_that_can_be_asked() {
+    let all = [entry(1, 0, true), entry(2, 0, false), entry(3, 0, false)];
+    let mut stage = with_stale_records(among(FLEET), &all);
+    stage.list(ListKind::Delta, &[Entry { listed: Listed::Draining, ..all[1].clone() }]);
+    let (_, actions) = stage.ask(READ);
+    assert_eq!([2, 3].map(|m| probes(&actions, m)), [0, 1]);
+}
+
+#[test]
+fn a_near_replica_that_fails_its_probes_does_not_keep_farther_ones_from_being_asked() {
+    let mut stage = with_stale_records(among(FLEET), &entries());
+    let (_, actions) = stage.ask(READ);
+    assert_eq!([2, 3].map(|m| probes(&actions, m)), [1, 0]);
+    stage.probe_failed(2);
+    let (_, actions) = stage.ask(READ);
+    assert_eq!([2, 3].map(|m| probes(&actions, m)), [0, 1], "the near one was asked just now");
+}
+
+#[test]
+fn a_read_that_no_probe_helps_does_not_keep_those_behind_it_in_line_from_asking() {
+    let mut settings = among(FLEET);
+    settings.classes[SESSION].worth = 10.0;
+    let mut stage = with_stale_records(settings, &entries());
+    for _ in 0..3 {
+        stage.probe_failed(1);
+    }
+    // No member has reached the session's mark, and its primary is lost: it stays in line, ahead of the read.
+    stage.ask_with(SESSION, 2_000 * MS, |r| r.last_write_ago = Some(0));
+    stage.now += MS;
+    let (id, _) = stage.ask(READ);
+    let actions = stage.pass(60 * MS);
+    assert_eq!(probes(&actions, 3), 1, "the second one is asked while the read waits");
+    let actions = stage.probed(3, stage.now - MS, false);
+    assert_eq!(sent(&actions, id), Some(3));
+}
+
 #[test]
 fn while_a_replica_is_fresh_few_routers_ask_for_a_nearer_one() {
     let asks = |seed| {
