The fleet tests check what clients saw in one place

Change: `Seen::assert_answered` and `Seen::assert_served`, with the caller's place in their messages; the bounds are as they were.

--- a/crates/driver/tests/fleet.rs
+++ b/crates/driver/tests/fleet.rs
@@ -97,6 +97,7 @@
     })
 }
 
+/// Ends a load when it is dropped.
 struct EndOf<'a>(&'a AtomicBool);
 
 impl Drop for EndOf<'_> {
@@ -128,8 +129,17 @@
         }
     }
 
-    fn asked(&self) -> usize {
-        self.served + self.refused + self.failed + self.lost
+    /// Every request had its answer in time, and none failed.
+    #[track_caller]
+    fn assert_answered(&self) {
+        assert_eq!((self.lost, self.failed, self.late), (0, 0, 0), "{self:?}");
+    }
+
+    /// At least this part of a hundred was served.
+    #[track_caller]
+    fn assert_served(&self, part: usize) {
+        let asked = self.served + self.refused + self.failed + self.lost;
+        assert!(self.served * 100 >= asked * part, "{self:?}");
     }
 }
 
@@ -174,8 +184,8 @@
     let at_start = fleet.probes();
     assert!(at_start <= 30, "{at_start}");
     let seen = fleet.under_load(&everyone(), || thread::sleep(Duration::from_millis(1500)));
-    assert_eq!((seen.lost, seen.failed, seen.late), (0, 0, 0), "{seen:?}");
-    assert!(seen.served * 100 >= seen.asked() * 99, "{seen:?}");
+    seen.assert_answered();
+    seen.assert_served(99);
     assert!(fleet.links.passed() > 0);
     let idle: Vec<_> = fleet.followers.iter().filter(|m| m.queries().is_empty()).map(|m| &m.name).collect();
     assert!(idle.is_empty(), "no member is left idle: {idle:?}");
@@ -192,7 +202,7 @@
         killed.iter().for_each(|d| d.signal("KILL"));
         thread::sleep(Duration::from_millis(500));
     });
-    assert_eq!((seen.lost, seen.failed, seen.late), (0, 0, 0), "{seen:?}");
+    seen.assert_answered();
     killed.iter_mut().for_each(|d| assert!(!d.ended().success()));
     drop(killed);
     let before = fleet.probes();
@@ -202,8 +212,8 @@
     assert!(probes <= 24, "{probes}");
     fleet.drivers.extend(back);
     let seen = fleet.under_load(&everyone(), || thread::sleep(Duration::from_millis(800)));
-    assert_eq!((seen.lost, seen.failed, seen.late), (0, 0, 0), "{seen:?}");
-    assert!(seen.served * 100 >= seen.asked() * 99, "{seen:?}");
+    seen.assert_answered();
+    seen.assert_served(99);
     fleet.assert_no_effect_twice();
 }
 
@@ -233,8 +243,8 @@
     });
     assert_eq!(stale, 0, "reads sent to a member that is a minute behind");
     assert!(used > 0, "once it has caught up it is used again");
-    assert_eq!((seen.lost, seen.failed, seen.late), (0, 0, 0), "{seen:?}");
-    assert!(seen.served * 100 >= seen.asked() * 98, "{seen:?}");
+    seen.assert_answered();
+    seen.assert_served(98);
     fleet.assert_no_effect_twice();
 }
 
@@ -264,7 +274,7 @@
         stale = lagging.queries().len() - before;
     });
     assert_eq!(stale, 0, "reads sent to a member that is a minute behind");
-    assert_eq!((seen.lost, seen.failed, seen.late), (0, 0, 0), "{seen:?}");
+    seen.assert_answered();
 }
 
 #[test]
@@ -276,7 +286,7 @@
         fleet.agents.iter().for_each(|agent| agent.tell(entry(&joined, "ready")));
         eventually("the new one gets reads", || joined.queries().len() > 50);
     });
-    assert_eq!((seen.lost, seen.failed, seen.late), (0, 0, 0), "{seen:?}");
+    seen.assert_answered();
     let probes = joined.set(|s| s.probes);
     assert!(probes <= 2 * DRIVERS, "{probes}");
 }
@@ -302,7 +312,7 @@
             thread::sleep(Duration::from_millis(300));
             late_at_drained += old.queries().len() - before;
         });
-        assert_eq!((seen.lost, seen.failed, seen.late), (0, 0, 0), "step {step}: {seen:?}");
+        seen.assert_answered();
         for number in roll {
             assert!(fleet.drivers[number].ended().success());
             fleet.configs[number]["known"] = fleet.agents[number].known();
@@ -311,7 +321,7 @@
     }
     assert_eq!(late_at_drained, 0, "sends to a member that has been draining for half a second");
     let seen = fleet.under_load(&everyone(), || thread::sleep(Duration::from_millis(500)));
-    assert!(seen.served * 100 >= seen.asked() * 99, "{seen:?}");
+    seen.assert_served(99);
     assert!(fleet.followers.iter().all(|m| !m.queries().is_empty()), "the new ones carry the reads");
     fleet.assert_no_effect_twice();
 }
