The emulator's world is parted by its jobs: asking, routing, attempts, serving, talking

Change: methods moved as they were to files of one job each; world.rs keeps the state and the order of events. No behaviour changed.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -5,9 +5,13 @@
 //! saw. One seed gives one day: the same seed, the same bytes out. It opens no socket, reads no clock, and takes
 //! no decision of a router's; its baselines (and the oracle, which sees the true state) are here for comparison.
 
+mod asking;
+mod attempts;
 pub mod audit;
 pub mod baseline;
 pub mod client;
+
+mod deciding;
 pub mod discovery;
 pub mod draws;
 pub mod experiment;
@@ -18,6 +22,11 @@
 pub mod plan;
 pub mod queue;
 pub mod router;
+
+mod routing;
+mod serving;
+mod spill;
+mod talking;
 pub mod tally;
 pub mod world;
 
