--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -13,6 +13,7 @@
         Todo::Serve => {}
     }
     env_logger::Builder::from_env(Env::default().default_filter_or("info")).init();
+    signals::end_with_parent();
     // Before all else: a signal that is not caught ends the process.
     let (stop, reloads) = (signals::stop(), signals::reloads());
     let done = Config::from_env().and_then(|config| run(config, stop, reloads));
--- a/crates/driver/src/signals.rs
+++ b/crates/driver/src/signals.rs
@@ -9,6 +9,9 @@
 
 use crate::config::Config;
 
+/// Where this is set, the process ends with the one that started it.
+const WITH_PARENT: &str = "BEACONSHORE_ENDS_WITH_PARENT";
+
 /// Ready once the process is asked to end. Signals are caught from this call on.
 pub fn stop() -> impl Future<Output = ()> {
     let signals = caught(&[Signal::Term, Signal::Int]);
@@ -33,3 +36,12 @@
 fn caught(signals: &[Signal]) -> Option<Signals> {
     Signals::new(signals).inspect_err(|e| warn!("signals can't be received: {e}")).ok()
 }
+
+/// Has the kernel end this process with the one that started it, where `BEACONSHORE_ENDS_WITH_PARENT` is set: a rig that
+/// dies by itself is to leave nothing behind. On the platform nobody sets it.
+pub fn end_with_parent() {
+    if std::env::var_os(WITH_PARENT).is_some_and(|value| !value.is_empty()) {
+        // Where the system knows no such signal the process just stays.
+        let _ = rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL));
+    }
+}
--- a/crates/emulator/src/asking.rs
+++ b/crates/emulator/src/asking.rs
@@ -39,7 +39,7 @@
         });
         let alive = |z: &usize| {
             let all = *z * per_zone..(*z + 1) * per_zone;
-            all.filter(|r| self.routers[*r].alive).collect::<Vec<_>>()
+            all.filter(|r| self.routers[*r].alive && !self.routers[*r].leaving).collect::<Vec<_>>()
         };
         let Some(routers) = zones.iter().map(alive).find(|r| !r.is_empty()) else {
             return self.at_client(id, Answer::Failed);
--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -7,8 +7,8 @@
 use beaconshore_operator::text::{self, impossible, Problem};
 
 use crate::plan::{
-    ClassPlan, ClientPlan, DiscoveryPlan, Fault, GroupPlan, MemberPlan, Plan, RouterPlan, Strike, Struck,
-    SECOND,
+    ClassPlan, ClientPlan, DiscoveryPlan, Fault, GroupPlan, Leave, MemberPlan, Plan, RouterPlan, Strike,
+    Struck, SECOND,
 };
 use crate::proto;
 
@@ -381,10 +381,19 @@
             What::Hang(h) => Fault::Hang(self.struck(&field("hang"), &h.zone, h.share)?),
             What::Drain(d) => Fault::Drain(self.struck(&field("drain"), &d.zone, d.share)?),
             What::Burst(b) => Fault::Burst(times("burst.times", b.times)?),
-            What::RouterLoss(r) => Fault::RouterLoss(self.zones_or_all(&field("router_loss.zone"), &r.zone)?),
-            What::Standstill(s) => Fault::Standstill(self.zones_or_all(&field("standstill.zone"), &s.zone)?),
+            What::RouterLoss(r) => Fault::RouterLoss(
+                self.struck(&field("router_loss"), &r.zone, r.share)?,
+                if r.planned.unwrap_or(false) { Leave::Planned } else { Leave::Killed },
+            ),
+            What::Standstill(s) => Fault::Standstill(self.struck(&field("standstill"), &s.zone, s.share)?),
             What::Silence(_) => Fault::Silence,
             What::Loss(l) => Fault::Loss(self.within(&field("loss.share"), l.share, 0.0, 1.0)?),
+            What::AnswerLoss(l) => {
+                Fault::AnswerLoss(self.within(&field("answer_loss.share"), l.share, 0.0, 1.0)?)
+            }
+            What::PeerLoss(l) => {
+                Fault::PeerLoss(self.within(&field("peer_loss.share"), l.share, 0.0, 1.0)?)
+            }
         };
         let at = self.within(&field("at_s"), f.at_s, 0.0, f64::from(MOST_SECONDS))?;
         Ok(Strike { at: (at * 1e6) as Micros, lasts, every, fault })
--- a/crates/emulator/src/faults.rs
+++ b/crates/emulator/src/faults.rs
@@ -3,7 +3,7 @@
 use beaconshore::interface::{Listed, Micros};
 
 use crate::member::Health;
-use crate::plan::{Fault, Struck, DAWN};
+use crate::plan::{Fault, Leave, Struck, DAWN};
 use crate::world::{Ev, World, ELECT_AGAIN};
 
 impl World<'_> {
@@ -44,16 +44,20 @@
                 self.arrivals.burst(index, *times);
                 Vec::new()
             }
-            Fault::RouterLoss(zones) => {
-                let hit: Vec<usize> =
-                    (0..self.routers.len()).filter(|r| zones.contains(&self.routers[*r].zone)).collect();
-                hit.iter().for_each(|r| self.stop_router(*r));
+            Fault::RouterLoss(struck, leave) => {
+                let mut hit = self.struck_routers(struck);
+                hit.retain(|r| self.routers[*r].alive && !self.routers[*r].leaving);
+                match leave {
+                    Leave::Killed => hit.iter().for_each(|r| self.stop_router(*r)),
+                    Leave::Planned => hit.iter().for_each(|r| self.send_off(*r)),
+                }
                 hit
             }
-            Fault::Standstill(zones) => {
+            Fault::Standstill(struck) => {
                 let until = now + strike.lasts.unwrap_or(0);
-                let hit = |r: &&mut crate::router::Router| zones.contains(&r.zone);
-                self.routers.iter_mut().filter(hit).for_each(|r| r.still_until = until);
+                for router in self.struck_routers(struck) {
+                    self.stand_still(router, until);
+                }
                 Vec::new()
             }
             Fault::Silence => {
@@ -64,6 +68,14 @@
                 self.network.lose(index, *share);
                 Vec::new()
             }
+            Fault::AnswerLoss(share) => {
+                self.network.lose_answers(index, *share);
+                Vec::new()
+            }
+            Fault::PeerLoss(share) => {
+                self.network.lose_words(index, *share);
+                Vec::new()
+            }
         };
         if let Some(lasts) = strike.lasts {
             self.queue.after(lasts, Ev::Heal(index, struck));
@@ -85,7 +97,9 @@
                     back.into_iter().for_each(|r| self.start_router(r));
                 }
             }
-            Fault::Cut { .. } | Fault::Loss(_) => self.network.heal(index),
+            Fault::Cut { .. } | Fault::Loss(_) | Fault::AnswerLoss(_) | Fault::PeerLoss(_) => {
+                self.network.heal(index)
+            }
             Fault::Lag(_, times) => struck.iter().for_each(|m| {
                 self.advance(*m);
                 self.members[*m].applied.slower /= times;
@@ -102,7 +116,7 @@
                 self.come_back(*m, 0);
             }),
             Fault::Burst(_) => self.arrivals.heal(index),
-            Fault::RouterLoss(_) => {
+            Fault::RouterLoss(..) => {
                 let back: Vec<usize> = struck.iter().copied().filter(|r| !self.routers[*r].alive).collect();
                 back.into_iter().for_each(|r| self.start_router(r));
             }
@@ -121,6 +135,13 @@
         all.into_iter().filter(|_| struck.share >= 1.0 || self.faults.chance(struck.share)).collect()
     }
 
+    /// Routers of the struck zones, by lot where not all are struck.
+    fn struck_routers(&mut self, struck: &Struck) -> Vec<usize> {
+        let all = (0..self.routers.len()).filter(|r| struck.zones.contains(&self.routers[*r].zone));
+        let all: Vec<usize> = all.collect();
+        all.into_iter().filter(|_| struck.share >= 1.0 || self.faults.chance(struck.share)).collect()
+    }
+
     fn each(&mut self, struck: &Struck, mut strike: impl FnMut(&mut Self, usize)) -> Vec<usize> {
         let victims = self.victims(struck);
         victims.iter().for_each(|m| strike(self, *m));
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod draws;
 pub mod experiment;
 pub mod faults;
+pub mod live;
 pub mod log;
 pub mod member;
 pub mod network;
--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -29,13 +29,24 @@
     cuts: Vec<Cut>,
     /// Share of new connections that are lost, by the strikes in force.
     losses: Vec<(usize, f64)>,
+    /// Share of answers that are lost, and of messages between routers, by the strikes in force.
+    answers: Vec<(usize, f64)>,
+    peers: Vec<(usize, f64)>,
     draws: Draws,
 }
 
 impl Network {
     /// All is well.
     pub fn new(delays: Vec<Vec<f64>>, jitter: f64, draws: Draws) -> Self {
-        Network { delays, jitter, cuts: Vec::new(), losses: Vec::new(), draws }
+        Network {
+            delays,
+            jitter,
+            cuts: Vec::new(),
+            losses: Vec::new(),
+            answers: Vec::new(),
+            peers: Vec::new(),
+            draws,
+        }
     }
 
     /// The mean delay one way.
@@ -59,12 +70,24 @@
 
     /// Whether a new connection is lost on its way.
     pub fn loses_connection(&mut self) -> bool {
-        let kept: f64 = self.losses.iter().map(|(_, share)| 1.0 - share).product();
-        !self.losses.is_empty() && self.draws.chance(1.0 - kept)
+        let share = lost(&self.losses);
+        self.loses(share)
     }
 
-    /// Whether a datagram is lost.
-    pub fn loses(&mut self, share: f64) -> bool {
+    /// Whether an answer is lost on its way, and its connection reset.
+    pub fn loses_answer(&mut self) -> bool {
+        let share = lost(&self.answers);
+        self.loses(share)
+    }
+
+    /// Whether a message between routers is lost, where this share is lost on a good day.
+    pub fn loses_word(&mut self, usual: f64) -> bool {
+        let share = 1.0 - (1.0 - lost(&self.peers)) * (1.0 - usual);
+        self.loses(share)
+    }
+
+    /// Whether something of which this share is lost is lost.
+    fn loses(&mut self, share: f64) -> bool {
         share > 0.0 && self.draws.chance(share)
     }
 
@@ -83,9 +106,26 @@
         self.losses.push((strike, share));
     }
 
+    /// Answers begin to be lost.
+    pub fn lose_answers(&mut self, strike: usize, share: f64) {
+        self.answers.push((strike, share));
+    }
+
+    /// Messages between routers begin to be lost.
+    pub fn lose_words(&mut self, strike: usize, share: f64) {
+        self.peers.push((strike, share));
+    }
+
     /// What a strike brought ends.
     pub fn heal(&mut self, strike: usize) {
         self.cuts.retain(|cut| cut.strike != strike);
-        self.losses.retain(|(s, _)| *s != strike);
+        for losses in [&mut self.losses, &mut self.answers, &mut self.peers] {
+            losses.retain(|(s, _)| *s != strike);
+        }
     }
 }
+
+/// Share that is lost where several strikes each take theirs.
+fn lost(losses: &[(usize, f64)]) -> f64 {
+    1.0 - losses.iter().map(|(_, share)| 1.0 - share).product::<f64>()
+}
--- a/crates/emulator/src/plan.rs
+++ b/crates/emulator/src/plan.rs
@@ -152,14 +152,27 @@
     Drain(Struck),
     /// More traffic.
     Burst(f64),
-    /// Routers die.
-    RouterLoss(Vec<usize>),
+    /// Routers die, or go as planned: told first, with time to finish what they have.
+    RouterLoss(Struck, Leave),
     /// Routers stand still.
-    Standstill(Vec<usize>),
+    Standstill(Struck),
     /// The list tells nothing new.
     Silence,
     /// New connections are lost.
     Loss(f64),
+    /// Answers are lost, and their connections reset.
+    AnswerLoss(f64),
+    /// Messages between routers are lost.
+    PeerLoss(f64),
+}
+
+/// How a router goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Leave {
+    /// At once.
+    Killed,
+    /// It is told, and takes nothing new while it finishes what it has.
+    Planned,
 }
 
 /// A fault with its times, counted from dawn.
@@ -219,6 +232,20 @@
 }
 
 impl Plan {
+    /// The same day after this time in which only what is not counted happens.
+    pub fn after(mut self, lead: Micros) -> Plan {
+        (self.length, self.settle) = (self.length + lead, self.settle + lead);
+        self.strikes.iter_mut().for_each(|strike| strike.at += lead);
+        self
+    }
+
+    /// The same day with so many routers in each zone.
+    pub fn with_routers(mut self, per_zone: usize) -> Plan {
+        self.routers.per_zone = per_zone;
+        self.settings.routers = (per_zone * self.zones.len()) as u32;
+        self
+    }
+
     /// The figures of the rules.
     pub fn rules(&self) -> &RuleFigures {
         &self.settings.rules
--- a/crates/emulator/src/queue.rs
+++ b/crates/emulator/src/queue.rs
@@ -60,6 +60,16 @@
         self.at(self.now + delay, what);
     }
 
+    /// When that is.
+    pub fn due(&self) -> Option<Micros> {
+        self.heap.peek().map(|Reverse(item)| item.at)
+    }
+
+    /// The present is this time, if it was earlier: on a clock that is not its own.
+    pub fn forward(&mut self, to: Micros) {
+        self.now = self.now.max(to);
+    }
+
     /// What happens next; the present becomes its time.
     pub fn advance(&mut self) -> Option<T> {
         let Reverse(item) = self.heap.pop()?;
--- a/crates/emulator/src/router.rs
+++ b/crates/emulator/src/router.rs
@@ -31,6 +31,8 @@
     pub tries: u32,
     /// The attempt that is out.
     pub out: Option<Out>,
+    /// The commit of a write that was served.
+    pub commit: Option<Micros>,
 }
 
 /// An idle connection: since when, and to which start of the member.
@@ -48,6 +50,8 @@
     pub zone: usize,
     /// Whether its process runs.
     pub alive: bool,
+    /// Whether it was told to end: clients find others.
+    pub leaving: bool,
     /// Counts its starts.
     pub epoch: u32,
     /// It stands still until then.
--- a/crates/emulator/src/routing.rs
+++ b/crates/emulator/src/routing.rs
@@ -9,6 +9,7 @@
 
 use crate::baseline::Brains;
 use crate::client::Answer;
+use crate::live::{Order, GRACE};
 use crate::plan::DAWN;
 use crate::router::Open;
 use crate::world::*;
@@ -26,7 +27,7 @@
             }
             return;
         }
-        if process.still_until > now {
+        if process.still_until > now && self.outside.is_none() {
             let until = process.still_until;
             return self.queue.at(until, event);
         }
@@ -34,6 +35,7 @@
             Ev::AskRouter(story, request, to) => self.take(story, request, to),
             Ev::Timer(_) => self.tell(router, &Event::Timer),
             Ev::Connected(_, request, token, member) => self.connected(router, request, token, member),
+            Ev::Told(_, told) if self.outside.is_some() => self.say_outside(router, *told),
             Ev::Told(_, told) => self.told(router, *told),
             Ev::AttemptOver(_, request, token) => self.attempt_over(router, request, token),
             Ev::Probed(_, member, report) => {
@@ -60,6 +62,7 @@
             }
             Ev::Words(_, words) => self.tell(router, &Event::Told(words)),
             Ev::Talk(_, from, talks) => self.tell(router, &Event::Talk(from, talks)),
+            Ev::Reset(_, member, _) if self.outside.is_some() => self.reset_outside(router, member),
             Ev::Reset(_, member, epoch) => self.reset(router, member, epoch),
             _ => {}
         }
@@ -68,11 +71,17 @@
     pub(crate) fn start_router(&mut self, router: usize) {
         let now = self.now();
         let process = &mut self.routers[router];
-        process.alive = true;
+        (process.alive, process.leaving) = (true, false);
         process.epoch += 1;
         let epoch = process.epoch;
         process.idle.iter_mut().for_each(Vec::clear);
         process.open.clear();
+        if self.outside.is_some() {
+            // Clients find it once it answers.
+            self.routers[router].leaving = true;
+            self.audit.restarted(router);
+            return self.order(Order::Start(router));
+        }
         let settings = Settings { zone: ZoneId(process.zone as u16), ..self.plan.settings.clone() };
         let number = Some(router as u32);
         let plans = match self.brains {
@@ -92,16 +101,38 @@
         self.queue.after(RELIST, Ev::Relist((router, epoch)));
     }
 
+    /// A router is told to end: new clients find others, and it goes once it had time to finish.
+    pub(crate) fn send_off(&mut self, router: usize) {
+        self.routers[router].leaving = true;
+        self.order(Order::SendOff(router));
+        let process = (router, self.routers[router].epoch);
+        self.queue.after(PARTING, Ev::Leave(process));
+    }
+
+    pub(crate) fn leave(&mut self, router: usize, epoch: u32) {
+        if self.routers[router].epoch == epoch && self.routers[router].alive {
+            self.stop_router(router);
+        }
+    }
+
+    pub(crate) fn stand_still(&mut self, router: usize, until: beaconshore::interface::Micros) {
+        self.routers[router].still_until = until;
+        let after = until.saturating_sub(self.now());
+        self.order(Order::Still(router, after));
+    }
+
     pub(crate) fn stop_router(&mut self, router: usize) {
         let process = &mut self.routers[router];
         process.alive = false;
         process.steering = None;
+        let process = &mut self.routers[router];
         let open = std::mem::take(&mut process.open);
         for (request, open) in open {
             self.audit.released(request);
             let notice = self.plan.clients.notice.min(open.ends.saturating_sub(self.queue.now()));
             self.queue.after(notice, Ev::AtClient(open.story, Answer::Failed));
         }
+        self.order(Order::Kill(router));
         for member in 0..self.members.len() {
             let closed = self.routers[router].idle[member].len();
             let m = &mut self.members[member];
@@ -119,6 +150,7 @@
                 Some(known) => *known = entry.clone(),
                 None => self.routers[router].known.push(entry.clone()),
             }
+            self.order(Order::News(router, Box::new(entry.clone())));
         }
         self.tell(router, &Event::List(kind, entries));
     }
@@ -173,9 +205,13 @@
         let floor = commit.filter(|_| class.consistency == Consistency::Session).unwrap_or(0);
         self.day.taken += 1;
         self.audit.taken(request, story.class, floor, ends);
-        self.queue.at(ends + OWED, Ev::Over(request, to));
-        let open = Open { story: story_id, ends, floor, tries: 0, out: None };
+        let owed = if self.outside.is_some() { GRACE } else { OWED };
+        self.queue.at(ends + owed, Ev::Over(request, to));
+        let open = Open { story: story_id, ends, floor, tries: 0, out: None, commit: None };
         self.routers[to.0].open.insert(request, open);
+        if self.outside.is_some() {
+            return self.hand_out(story_id, request, to.0);
+        }
         if self.routers[to.0].steering.is_none() {
             return self.decide(to.0, request);
         }
--- a/crates/emulator/src/serving.rs
+++ b/crates/emulator/src/serving.rs
@@ -117,6 +117,8 @@
         let (from, to) = (self.members[told.member].zone, self.routers[process.0].zone);
         if self.network.passes(to, from, Way::Back) {
             let delay = self.network.delay(from, to);
+            let lost = told.outcome == Outcome::Served && self.network.loses_answer();
+            let told = if lost { told.lost() } else { told };
             self.queue.after(delay, Ev::Told(process, Box::new(told)));
         }
     }
--- a/crates/emulator/src/talking.rs
+++ b/crates/emulator/src/talking.rs
@@ -42,7 +42,7 @@
             let process = (other, self.routers[other].epoch);
             let Some(message) = message(process) else { continue };
             let cut = !self.network.passes(from, to, Way::Out) || !self.network.passes(to, from, Way::Out);
-            if other == router || cut || self.network.loses(self.plan.routers.peer_loss) {
+            if other == router || cut || self.network.loses_word(self.plan.routers.peer_loss) {
                 continue;
             }
             let delay = self.network.around(self.plan.routers.peer_delay);
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -9,6 +9,7 @@
 use crate::client::{Answer, Arrivals, Story};
 use crate::discovery::Discovery;
 use crate::draws::{Draws, Purpose};
+use crate::live::Order;
 use crate::log::{Applied, Log};
 use crate::member::{Job, Member};
 use crate::network::Network;
@@ -27,6 +28,8 @@
 pub(crate) const ELECT_AGAIN: Micros = 500_000;
 /// A router that starts anew has the whole list after this.
 pub(crate) const RELIST: Micros = 100_000;
+/// A router that is told to end has this long to finish what it has.
+pub(crate) const PARTING: Micros = SECOND;
 /// Time beyond a request's end after which an answer is owed no more.
 pub(crate) const OWED: Micros = 60_000;
 
@@ -46,6 +49,14 @@
     pub(crate) data: (Micros, bool),
 }
 
+impl Told {
+    /// The same answer lost on its way: its connection breaks.
+    pub(crate) fn lost(self) -> Told {
+        let (note, report) = Default::default();
+        Told { outcome: Outcome::Reset, note, report, ..self }
+    }
+}
+
 /// What happens.
 pub(crate) enum Ev {
     Arrive,
@@ -63,6 +74,7 @@
     Probed(Process, usize, Option<Box<Report>>),
     News(Process, Box<Entry>, u64),
     Relist(Process),
+    Leave(Process),
     Words(Process, Vec<Word>),
     Talk(Process, u32, Vec<Talk>),
     Reset(Process, usize, u32),
@@ -71,6 +83,7 @@
     Elect(usize, u64),
     Notice(usize, u32, Listed),
     NoticeRole(usize),
+    Outside(Box<Order>),
     Second,
 }
 
@@ -102,6 +115,8 @@
     pub(crate) spill_sums: Vec<f64>,
     pub(crate) busy: Vec<f64>,
     pub(crate) seed: u64,
+    /// Where the routers are processes: what is to be done there.
+    pub(crate) outside: Option<Vec<Order>>,
 }
 
 /// Plays a day with routers of one kind; the same seed gives the same day.
@@ -170,6 +185,7 @@
             spill_sums: vec![0.0; zones],
             busy: vec![0.0; count],
             seed,
+            outside: None,
         }
     }
 
@@ -181,6 +197,7 @@
                 self.routers.push(Router {
                     zone,
                     alive: false,
+                    leaving: false,
                     epoch: 0,
                     still_until: 0,
                     steering: None,
@@ -233,6 +250,7 @@
             Ev::Probed(p, m, report) => self.at_router(p, Ev::Probed(p, m, report)),
             Ev::News(p, entry, version) => self.at_router(p, Ev::News(p, entry, version)),
             Ev::Relist(p) => self.at_router(p, Ev::Relist(p)),
+            Ev::Leave((router, epoch)) => self.leave(router, epoch),
             Ev::Words(p, words) => self.at_router(p, Ev::Words(p, words)),
             Ev::Talk(p, from, talks) => self.at_router(p, Ev::Talk(p, from, talks)),
             Ev::Reset(p, m, e) => self.at_router(p, Ev::Reset(p, m, e)),
@@ -246,6 +264,7 @@
             Ev::Elect(group, number) => self.elect(group, number),
             Ev::Notice(member, epoch, listed) => self.notice(member, epoch, listed),
             Ev::NoticeRole(group) => self.notice_role(group),
+            Ev::Outside(order) => self.order(*order),
             Ev::Second => self.second(),
         }
     }
