A router that hears nobody gathers its words; lagging replicas are told of more rarely

At fault: `learn` in src/rules.rs told a word whenever none had been heard for half the bound, and with nobody heard that is always.

Change: src/telling.rs decides what is news and when it is told. After a second without any word a router gathers for half a second; the first word heard ends that.

Tests in the module and tests/large_fleet.rs fail without it.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,6 +6,7 @@
 use crate::interface::*;
 use crate::random::{share_of, Random};
 use crate::scouting::Scouting;
+use crate::telling::Telling;
 
 /// Pause between rounds of due work, in steps: short against every aim, dear in no site's CPU share.
 const TICK_STEPS: u64 = 2;
@@ -17,8 +18,6 @@
 const SEARCH_SPREAD: u64 = 16;
 /// A read without a fresh replica is held at the most this long for probes that are out, in microseconds.
 const PROBE_HOLD: Micros = 50_000;
-/// Positions are told to other routers once in this part of the tightest bound.
-const NEWS: u64 = 2;
 /// Consecutive failures after which a member is dropped (the design's default).
 const DROP_FAILURES: u32 = 3;
 /// Overdue or unanswered attempts in a row that make a member silent; one may be its connection's fault.
@@ -135,7 +134,7 @@
     pub(crate) held: BTreeMap<RequestId, Held>,
     services: Vec<Service>,
     pub(crate) sessions: BTreeMap<SessionId, Micros>, // Commits that they must see, where it remembers.
-    news: Vec<Word>,                                  // What is to be told to other routers.
+    telling: Telling,                                 // What is to be told to other routers.
     refused: f64,                                     // Share of attempts of late that got no connection.
     lost: f64, // Share of attempts of late that had no answer, while their members answered others.
     zones: BTreeMap<ZoneId, ZoneWord>, // What planners say; without a word: own zone first, all others alike.
@@ -151,8 +150,8 @@
         let bound = settings.classes.iter().map(bound).min().unwrap_or(Micros::MAX);
         let services = settings.classes.iter().map(|c| Service::new(c.aim as f64)).collect();
         let (tick, random) = (settings.step * TICK_STEPS, Random::new(seed));
-        let scouting = Scouting::new(&settings);
-        Router { settings, tick, bound, random, scouting, now, services, ..Router::default() }
+        let (scouting, telling) = (Scouting::new(&settings), Telling::new(&settings, bound, now));
+        Router { settings, tick, bound, random, scouting, telling, now, services, ..Router::default() }
     }
 
     /// Takes one event and adds what is to be done about it.
@@ -165,7 +164,7 @@
             Event::Rest(request, until) => self.on_rest(*request, *until),
             Event::AttemptEnded(ended) => self.on_outcome(ended, out),
             Event::ProbeEnded { member, outcome, report } => self.on_probe(*member, *outcome, report, out),
-            Event::Told(words) => words.iter().for_each(|word| self.on_word(word)),
+            Event::Told(words) => self.on_words(words),
             Event::Advice(advice) => self.on_advice(advice, out),
             Event::HungUp(request) => drop(self.held.remove(request)),
             Event::Talk(..) => {}
@@ -281,12 +280,10 @@
         let known = role == Some(Role::Primary) && group.primary.is_some_and(|(p, seen)| p == id && seen > 0);
         if let Some(p) = position.filter(|&p| p >= m.position) {
             (m.position, m.heard) = (p, self.now);
-            // Routers that may talk tell each other what none told for a part of the bound: it spares probes.
-            // Of a primary that is known as such only its being there is news: reads need no position of it.
-            let period = if known { self.bound.max(PROBE_PERIOD) } else { self.bound };
-            if self.settings.limits.peer_messages && self.now > m.shared.saturating_add(period / NEWS) {
+            // Routers that may talk tell each other what none has told of late: it spares probes.
+            if self.telling.is_news(p, known, m.shared, self.now) {
                 m.shared = self.now;
-                self.news.push(Word { member: id, position: p, role });
+                self.telling.add(Word { member: id, position: p, role });
             }
         }
         let (believed, seen) = group.primary.map_or((false, 0), |(p, seen)| (p == id, seen));
@@ -304,10 +301,13 @@
     }
 
     /// A peer's word counts as a report: it speaks of the time of its position.
-    fn on_word(&mut self, word: &Word) {
-        let Some(m) = self.members.get_mut(&word.member) else { return };
-        m.shared = self.now;
-        self.learn(word.member, Some(word.position), word.role, word.position);
+    fn on_words(&mut self, words: &[Word]) {
+        self.telling.on_heard(self.now);
+        for word in words {
+            let Some(m) = self.members.get_mut(&word.member) else { continue };
+            m.shared = self.now;
+            self.learn(word.member, Some(word.position), word.role, word.position);
+        }
     }
 
     /// Reads health and load from the end of an attempt.
@@ -716,7 +716,7 @@
 
     fn on_tick(&mut self, out: &mut Vec<Action>) {
         out.push(Action::SetTimer(self.tick));
-        out.extend((!self.news.is_empty()).then(|| Action::Tell(std::mem::take(&mut self.news))));
+        out.extend(self.telling.due(self.now).map(Action::Tell));
         if self.resubscribe_at.is_some_and(|at| at <= self.now) {
             self.resubscribe_at = Some(self.now + self.settings.rules.ask_within / 4);
             out.push(Action::Subscribe);
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -194,3 +194,35 @@
     assert!(closes(100 * MS), "a member that answered just now is out of connections");
     assert!(!closes(1_500 * MS));
 }
+
+/// How often a router tells within three seconds of steady reads, one each 20 ms, with others heard this often.
+fn tells(heard_every: Option<Micros>) -> usize {
+    let (mut stage, _) = Stage::seeded(1, among(FLEET), &entries());
+    let (mut tells, begun) = (0, stage.now);
+    let count = |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::Tell(_))).count();
+    told(&mut stage, 2, Role::Replica);
+    told(&mut stage, 3, Role::Replica);
+    while stage.now < begun + 4_000 * MS {
+        if heard_every.is_some_and(|every| (stage.now - begun) % every < 20 * MS) {
+            told(&mut stage, 1, Role::Primary);
+        }
+        let (id, actions) = stage.ask(READ);
+        let (note, to) = (stage.note(Role::Replica), sent(&actions, id));
+        let more = to.map_or_else(Vec::new, |member| stage.ended(id, member, Outcome::Served, note));
+        let passed = stage.pass(20 * MS);
+        if stage.now > begun + 1_100 * MS {
+            tells += count(&actions) + count(&more) + count(&passed);
+        }
+    }
+    tells
+}
+
+#[test]
+fn a_router_that_hears_nobody_gathers_what_it_has_to_tell() {
+    // Two replicas, each told of ten times a second at the most.
+    let heard = tells(Some(300 * MS));
+    assert!(heard >= 20, "{heard}");
+    // Cut off, it tells twice a second.
+    let deaf = tells(None);
+    assert!((4..=7).contains(&deaf), "{deaf}");
+}
