--- a/crates/emulator/src/live.rs
+++ b/crates/emulator/src/live.rs
@@ -230,6 +230,12 @@
         world.queue.after(trip, Ev::Outside(Box::new(Order::Probed(token, Some(told.report)))));
     }
 
+    /// A router's process told all others something.
+    pub fn tells(&mut self) {
+        let now = self.world.now();
+        self.world.day.second(now).told += 1;
+    }
+
     /// Time for a message between two routers; none: it is lost.
     pub fn hears(&mut self, from: usize, to: usize) -> Option<Micros> {
         let world = &mut self.world;
--- a/crates/emulator/src/routing.rs
+++ b/crates/emulator/src/routing.rs
@@ -181,7 +181,10 @@
             }
             Action::Probe(member) => self.probe(process, member.0 as usize),
             Action::Forget(_) | Action::Subscribe => {}
-            Action::Tell(words) => self.tell_peers(router, |p| Some(Ev::Words(p, words.clone()))),
+            Action::Tell(words) => {
+                self.day.second(now).told += 1;
+                self.tell_peers(router, |p| Some(Ev::Words(p, words.clone())));
+            }
             Action::Talk(talks) => self.tell_peers(router, |p| {
                 // What is lent goes to its borrower only.
                 let own = talks.iter().filter(|t| t.to.is_none_or(|to| to as usize == p.0));
--- a/crates/emulator/src/tally.rs
+++ b/crates/emulator/src/tally.rs
@@ -28,6 +28,8 @@
     pub attempts: u32,
     /// Probes sent in this second.
     pub probes: u32,
+    /// Messages that routers told all others in this second.
+    pub told: u32,
     /// Work of reads sent to each zone from routers elsewhere whose zone holds a replica of the group.
     pub spilled: Vec<f64>,
     /// Busy share of each member's cores.
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -7,7 +7,7 @@
 use clap::{Parser, Subcommand, ValueEnum};
 
 use crate::plays::{self, Plays};
-use crate::{charts, demo, tables};
+use crate::{charts, demo, fleet, tables};
 
 /// Most seeds of one run.
 const MOST_SEEDS: u64 = 10_000;
@@ -47,6 +47,29 @@
         #[arg(short, long, default_value_t = 0)]
         jobs: usize,
     },
+    /// Plays an experiment's file on processes of the program, on loopback and in real time, beside the emulator.
+    Fleet {
+        /// The file.
+        experiment: PathBuf,
+        /// Processes over all zones, a multiple of these; left out: as many as the file says.
+        #[arg(short, long)]
+        processes: Option<usize>,
+        /// The program; left out: `beaconshore` beside this one.
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// An operator's file for all of them.
+        #[arg(long)]
+        operator: Option<PathBuf>,
+        /// Folder for tables.
+        #[arg(short, long, default_value = "target/fleet")]
+        output: PathBuf,
+        /// Folder for the processes' logs.
+        #[arg(long)]
+        logs: Option<PathBuf>,
+        /// Seed of the day.
+        #[arg(short, long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Reads an experiment's file and says what it holds.
     Check {
         /// The file.
@@ -110,6 +133,10 @@
     pub fn run(self) -> Result<Verdict, String> {
         match self.command {
             Command::Demo { output } => demo::run(&output),
+            Command::Fleet { experiment, processes, program, operator, output, logs, seed } => {
+                let request = fleet::Request { processes, program, operator, output, logs, seed };
+                fleet::compare(read(&experiment)?, &request)
+            }
             Command::Check { experiment } => {
                 let plan = read(&experiment)?;
                 println!(
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod charts;
 pub mod cli;
 pub mod demo;
+pub mod fleet;
 pub mod measures;
 pub mod plays;
 pub mod tables;
--- a/crates/lab/src/tables.rs
+++ b/crates/lab/src/tables.rs
@@ -38,6 +38,8 @@
         "refused",
         "failed",
         "probes",
+        "told",
+        "attempts",
     ])?;
     for brains in plays.brains() {
         for seed in plays.seeds() {
@@ -61,6 +63,8 @@
                 sum(|s| s.refused),
                 sum(|s| s.failed),
                 sum(|s| s.probes),
+                sum(|s| s.told),
+                sum(|s| s.attempts),
             ])?;
         }
     }
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -279,6 +279,9 @@
             Mail::Ready { router, start } if start == self.starts[router] => self.live.ready(router),
             Mail::Ready { .. } => {}
             Mail::Datagram { from, to, bytes } => {
+                if to.is_none() {
+                    self.live.tells();
+                }
                 let all = 0..self.agents.len();
                 for to in all.filter(|n| *n != from && to.is_none_or(|to| to == *n)) {
                     match self.live.hears(from, to) {
