--- a/crates/emulator/src/spill.rs
+++ b/crates/emulator/src/spill.rs
@@ -4,6 +4,7 @@
 
 use crate::plan::SECOND;
 use crate::world::*;
+use beaconshore::sizes::Sizes;
 
 impl World<'_> {
     /// A read sent away from a router's zone though its group has a replica there is spilled.
@@ -44,6 +45,13 @@
             *before = busy;
         }
         self.day.second(now - 1).load = load;
+        let kept = self.routers.iter().filter_map(|r| Some(r.steering.as_ref()?.sizes()));
+        self.day.second(now - 1).kept = kept.fold(Sizes::default(), |most, sizes| Sizes {
+            members: most.members.max(sizes.members),
+            groups: most.groups.max(sizes.groups),
+            requests: most.requests.max(sizes.requests),
+            sessions: most.sessions.max(sizes.sessions),
+        });
         self.queue.after(SECOND, Ev::Second);
     }
 }
--- a/crates/emulator/src/tally.rs
+++ b/crates/emulator/src/tally.rs
@@ -2,6 +2,8 @@
 
 use beaconshore::interface::Micros;
 
+use beaconshore::sizes::Sizes;
+
 use crate::audit::Breach;
 use crate::plan::{Plan, DAWN, SECOND};
 
@@ -34,6 +36,8 @@
     pub spilled: Vec<f64>,
     /// Busy share of each member's cores.
     pub load: Vec<f32>,
+    /// The most that any router kept at the end of this second.
+    pub kept: Sizes,
 }
 
 /// A served request: class, second of the day in which it was first asked, time in microseconds.
