--- a/crates/driver/tests/rig.rs
+++ b/crates/driver/tests/rig.rs
@@ -3,6 +3,7 @@
 
 use std::path::PathBuf;
 use std::sync::atomic::AtomicBool;
+use std::sync::{Mutex, PoisonError};
 
 use beaconshore_emulator::experiment;
 use beaconshore_emulator::plan::SECOND;
@@ -19,11 +20,15 @@
     discovery { least_ms: 50 most_ms: 400 silent_ms: 800 role_ms: 300 }
     rules { warm_ms: 3000 }";
 
+/// Days are played one after the other: side by side they would make each other late on a small machine.
+static ONE_DAY: Mutex<()> = Mutex::new(());
+
 /// Plays a day on twelve processes.
 fn day(seconds: u32, faults: &str) -> Outcome {
     let text =
         format!("name: 'day' seconds: {seconds} settle_s: 1 {STORE} routers {{ per_zone: 4 }} {faults}");
     let plan = experiment::read("day", &text).expect("the experiment reads");
+    let _alone = ONE_DAY.lock().unwrap_or_else(PoisonError::into_inner);
     let path = PathBuf::from(env!("CARGO_BIN_EXE_beaconshore"));
     let program = Program { path, operator: None, logs: None };
     run(&plan, 7, &program, &AtomicBool::new(false)).expect("the day is played")
