--- a/crates/emulator/src/audit.rs
+++ b/crates/emulator/src/audit.rs
@@ -148,6 +148,14 @@
         }
     }
 
+    /// Another router told it what a member had said at a time: that it is primary clears what it said before.
+    pub fn heard(&mut self, router: usize, member: usize, role: Option<Role>, at: Micros) {
+        let denied = self.denied.get(&(router, member)).copied();
+        if role == Some(Role::Primary) && denied.is_some_and(|denied| at > denied) {
+            self.denied.remove(&(router, member));
+        }
+    }
+
     /// An attempt goes out.
     pub fn sent(
         &mut self,
--- a/crates/emulator/src/routing.rs
+++ b/crates/emulator/src/routing.rs
@@ -60,7 +60,12 @@
                 let entries = self.discovery.entries().to_vec();
                 self.news(router, ListKind::Full, &entries);
             }
-            Ev::Words(_, words) => self.tell(router, &Event::Told(words)),
+            Ev::Words(_, words) => {
+                for word in &words {
+                    self.audit.heard(router, word.member.0 as usize, word.role, word.position);
+                }
+                self.tell(router, &Event::Told(words));
+            }
             Ev::Talk(_, from, talks) => self.tell(router, &Event::Talk(from, talks)),
             Ev::Reset(_, member, _) if self.outside.is_some() => self.reset_outside(router, member),
             Ev::Reset(_, member, epoch) => self.reset(router, member, epoch),
--- a/crates/emulator/tests/audit.rs
+++ b/crates/emulator/tests/audit.rs
@@ -101,3 +101,25 @@
     assert_eq!(read(3, DAWN, false, false), []);
     assert_eq!(read(3, DAWN - MS, false, false), [Rule::Stale]);
 }
+
+#[test]
+fn a_primary_that_others_told_of_is_excused_as_one_that_said_so_itself() {
+    let (sent, now) = (DAWN + 3_000 * MS, DAWN + 3_010 * MS);
+    let read = |a: &mut Audit, p: &Plan| a.read(p, ID, (0, 1), (DAWN + 2_000 * MS, true), (sent, now));
+    let denies = |a: &mut Audit| a.role(0, 1, Role::Replica, DAWN + 100 * MS);
+    let stale = |a: &mut Audit, p: &Plan| {
+        denies(a);
+        read(a, p);
+    };
+    assert_eq!(found(0, stale), [Rule::Stale]);
+    let told = |word: Micros, role: Role| {
+        move |a: &mut Audit, p: &Plan| {
+            denies(a);
+            a.heard(0, 1, Some(role), DAWN + word * MS);
+            read(a, p);
+        }
+    };
+    assert_eq!(found(0, told(500, Role::Primary)), []);
+    assert_eq!(found(0, told(50, Role::Primary)), [Rule::Stale], "an older word clears nothing");
+    assert_eq!(found(0, told(500, Role::Replica)), [Rule::Stale]);
+}
