--- a/crates/driver/tests/common/client.rs
+++ b/crates/driver/tests/common/client.rs
@@ -4,7 +4,9 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use super::{put, take, LIMIT};
+use super::{take, LIMIT};
+use beaconshore_rig::wire::fields;
+pub use beaconshore_rig::wire::{query, startup};
 
 /// What a driver answers to a query.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -51,20 +53,6 @@
     )
 }
 
-pub fn startup() -> Vec<u8> {
-    let mut startup = Vec::new();
-    startup.extend([0, 3, 0, 0]);
-    startup.extend(b"user\0web\0database\0orders\0\0");
-    let length = startup.len() as u32 + 4;
-    [&length.to_be_bytes()[..], &startup].concat()
-}
-
-pub fn query(text: &str) -> Vec<u8> {
-    let mut out = Vec::new();
-    put(&mut out, b'Q', format!("{text}\0").as_bytes());
-    out
-}
-
 impl Client {
     pub fn connect(address: SocketAddr) -> Client {
         let mut client = Client::raw(address);
@@ -100,10 +88,8 @@
                     b'Z' => return Ok(answer),
                     b'D' => answer.values.push(content[6..].to_vec()),
                     b'E' => {
-                        let fields = content.split(|&b| b == 0).filter(|f| !f.is_empty());
-                        for field in fields {
-                            let value = String::from_utf8_lossy(&field[1..]).into_owned();
-                            match field[0] {
+                        for (kind, value) in fields(&content) {
+                            match kind {
                                 b'C' => answer.code = Some(value),
                                 b'D' => answer.detail = Some(value),
                                 _ => {}
--- a/crates/driver/tests/common/member.rs
+++ b/crates/driver/tests/common/member.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use super::{put, take, unix_ms};
+pub use beaconshore_rig::wire::value_of;
+use beaconshore_rig::wire::{put_error, put_row, put_status};
 
 /// What a member does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -350,29 +352,3 @@
     bytes.extend_from_slice(&part[..count]);
     Ok(count > 0)
 }
-
-/// The value that a member gives for a statement: what its first quotes hold, between marks that are no text.
-pub fn value_of(statement: &str) -> Vec<u8> {
-    let key = statement.split('\'').nth(1).unwrap_or_default();
-    [&[0, 0xff], key.as_bytes(), &[0x9f, 0]].concat()
-}
-
-fn put_row(out: &mut Vec<u8>, value: &[u8]) {
-    let mut columns = vec![0, 1];
-    columns.extend(b"payload\0");
-    columns.extend([0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 1]);
-    put(out, b'T', &columns);
-    let mut row = vec![0, 1];
-    row.extend((value.len() as u32).to_be_bytes());
-    row.extend(value);
-    put(out, b'D', &row);
-    put(out, b'C', b"SELECT 1\0");
-}
-
-fn put_error(out: &mut Vec<u8>, severity: &str, code: &str) {
-    put(out, b'E', format!("S{severity}\0C{code}\0Mas told\0\0").as_bytes());
-}
-
-fn put_status(out: &mut Vec<u8>, name: &str, value: &str) {
-    put(out, b'S', format!("{name}\0{value}\0").as_bytes());
-}
--- a/crates/driver/tests/common/mod.rs
+++ b/crates/driver/tests/common/mod.rs
@@ -12,6 +12,7 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+pub use beaconshore_rig::wire::put;
 pub use client::{read, write, Client};
 pub use discovery::Discovery;
 pub use driver::World;
@@ -33,13 +34,6 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
 }
 
-/// Appends a PostgreSQL message.
-pub fn put(out: &mut Vec<u8>, kind: u8, content: &[u8]) {
-    out.push(kind);
-    out.extend((content.len() as u32 + 4).to_be_bytes());
-    out.extend(content);
-}
-
 /// Takes the first whole message off the front.
 pub fn take(bytes: &mut Vec<u8>) -> Option<(u8, Vec<u8>)> {
     let length = u32::from_be_bytes(*bytes.get(1..)?.first_chunk()?) as usize;
--- a/crates/emulator/src/attempts.rs
+++ b/crates/emulator/src/attempts.rs
@@ -3,6 +3,7 @@
 use beaconshore::interface::{Consistency, Ended, Event, MemberId, Micros, Note, Outcome, Report, RequestId};
 
 use crate::client::Answer;
+use crate::live::Welcome;
 use crate::member::{Health, Job};
 use crate::network::Way;
 use crate::router::{Idle, Open, Out};
@@ -31,21 +32,29 @@
     }
 
     pub(crate) fn connect(&mut self, process: Process, request: RequestId, token: u64, member: usize) {
-        let (zone, to) = (self.routers[process.0].zone, self.members[member].zone);
-        let there = self.network.delay(zone, to);
-        let back = self.network.delay(to, zone);
-        let passes = self.network.passes(zone, to, Way::Out) && self.network.passes(zone, to, Way::Back);
-        let lost = !passes || self.network.loses_connection();
+        let (after, epoch) = match self.welcome(process.0, member) {
+            Welcome::After(after, epoch) => (after, Some(epoch)),
+            Welcome::Refused(after) => (after, None),
+            Welcome::Silence => (CONNECT, None),
+        };
+        self.queue.after(after, Ev::Connected(process, request, token, epoch));
+    }
+
+    /// What becomes of a new connection; one that is welcome takes its place at the member.
+    pub(crate) fn welcome(&mut self, router: usize, member: usize) -> Welcome {
+        let (zone, to) = (self.routers[router].zone, self.members[member].zone);
+        let trip = self.network.delay(zone, to) + self.network.delay(to, zone);
+        let lost = !self.network.passes_both(zone, to) || self.network.loses_connection();
+        let most = self.plan.members.connections;
         let m = &mut self.members[member];
-        let silent = lost || m.health == Health::Silent;
-        let refused =
-            m.health == Health::Refusing || m.fallen || m.connections >= self.plan.members.connections;
-        if !silent && !refused {
-            m.connections += 1;
+        if lost || m.health == Health::Silent {
+            return Welcome::Silence;
         }
-        let epoch = (!silent && !refused).then_some(m.epoch);
-        let after = if silent { CONNECT } else { there + back };
-        self.queue.after(after, Ev::Connected(process, request, token, epoch));
+        if m.health == Health::Refusing || m.fallen || m.connections >= most {
+            return Welcome::Refused(trip);
+        }
+        m.connections += 1;
+        Welcome::After(trip, m.epoch)
     }
 
     pub(crate) fn connected(&mut self, router: usize, request: RequestId, token: u64, epoch: Option<u32>) {
--- a/crates/emulator/src/live.rs
+++ b/crates/emulator/src/live.rs
@@ -4,14 +4,14 @@
 //! Owns the day; what it wants done outside it says as orders, and what happened there it is told. It opens no socket and
 //! reads no clock: whoever hosts it does. The audit goes by what members and clients saw, never by what a router says.
 
-use beaconshore::interface::{Entry, MemberId, Micros, Outcome, Report, RequestId};
+use beaconshore::interface::{Entry, Micros, Outcome, Report, RequestId};
 
 use crate::audit::Audit;
 use crate::baseline::Brains;
 use crate::client::Answer;
-use crate::member::{Health, Job};
+use crate::member::Job;
 use crate::network::Way;
-use crate::plan::{Plan, DAWN};
+use crate::plan::Plan;
 use crate::router::{Open, Out};
 use crate::tally::Day;
 use crate::world::{Ev, Told, World, CONNECT};
@@ -36,8 +36,8 @@
     Ask(Box<Ask>),
     /// A member answers an attempt.
     Say(u64, Box<Said>),
-    /// It answers a probe, or not.
-    Probed(u64, Option<Report>),
+    /// It answers a probe.
+    Probed(u64, Report),
     /// All connections between a router and a member are reset.
     Reset(usize, usize),
     /// A router's agent learns of a member.
@@ -83,8 +83,8 @@
 pub enum Welcome {
     /// It is up after this time, at this start of the member.
     After(Micros, u32),
-    /// It is refused.
-    Refused,
+    /// It is refused after this time.
+    Refused(Micros),
     /// Nothing ever comes back.
     Silence,
 }
@@ -110,12 +110,9 @@
 
     /// All that is due until then happens; the present is that time.
     pub fn advance(&mut self, now: Micros) {
-        while self.world.queue.due().is_some_and(|at| at <= now) {
-            if let Some(event) = self.world.queue.advance() {
-                self.world.happen(event);
-            }
+        while let Some(event) = self.world.queue.advance_to(now) {
+            self.world.happen(event);
         }
-        self.world.queue.forward(now);
     }
 
     /// When something is due next.
@@ -145,21 +142,10 @@
 
     /// A router's process opens a connection to a member.
     pub fn connects(&mut self, router: usize, member: usize) -> Welcome {
-        let world = &mut self.world;
-        let (zone, to) = (world.routers[router].zone, world.members[member].zone);
-        let trip = world.network.delay(zone, to) + world.network.delay(to, zone);
-        let passes = world.network.passes(zone, to, Way::Out) && world.network.passes(zone, to, Way::Back);
-        let lost = !passes || world.network.loses_connection();
-        let most = world.plan.members.connections;
-        let m = &mut world.members[member];
-        if lost || m.health == Health::Silent {
-            return Welcome::Silence;
-        }
-        if m.health == Health::Refusing || m.fallen || m.connections >= most {
-            return Welcome::Refused;
+        match self.world.welcome(router, member) {
+            Welcome::After(trip, epoch) => Welcome::After(trip.min(CONNECT), epoch),
+            other => other,
         }
-        m.connections += 1;
-        Welcome::After(trip.min(CONNECT), m.epoch)
     }
 
     /// A connection that was up is closed; it belonged to this start of its member.
@@ -199,6 +185,11 @@
         }
     }
 
+    /// The attempt of a request that is out.
+    pub fn attempt(&self, request: RequestId, router: usize) -> Option<u64> {
+        Some(self.world.routers[router].open.get(&request)?.out?.token)
+    }
+
     /// The connection of an attempt that is out is gone: its router gave it up, or its process died.
     pub fn left(&mut self, request: RequestId, token: u64, router: usize) {
         let world = &mut self.world;
@@ -219,15 +210,14 @@
         world.day.second(now).probes += 1;
         let (zone, to) = (world.routers[router].zone, world.members[member].zone);
         let trip = world.network.delay(zone, to) + world.network.delay(to, zone);
-        let passes = world.network.passes(zone, to, Way::Out) && world.network.passes(zone, to, Way::Back);
-        if !passes || !world.members[member].is_up() {
+        if !world.network.passes_both(zone, to) || !world.members[member].is_up() {
             return;
         }
         let told = world.say(member, RequestId(0), token, Outcome::Served, None);
         if let Some(role) = told.note.role {
             world.audit.role(router, member, role, now);
         }
-        world.queue.after(trip, Ev::Outside(Box::new(Order::Probed(token, Some(told.report)))));
+        world.queue.after(trip, Ev::Outside(Box::new(Order::Probed(token, told.report))));
     }
 
     /// A router's process told all others something.
@@ -238,29 +228,20 @@
 
     /// Time for a message between two routers; none: it is lost.
     pub fn hears(&mut self, from: usize, to: usize) -> Option<Micros> {
-        let world = &mut self.world;
-        let (a, b) = (world.routers[from].zone, world.routers[to].zone);
-        let cut = !world.network.passes(a, b, Way::Out) || !world.network.passes(b, a, Way::Out);
-        let alive = world.routers[to].alive && world.routers[to].still_until <= world.now();
-        if cut || !alive || world.network.loses_word(world.plan.routers.peer_loss) {
-            return None;
-        }
-        Some(world.network.around(world.plan.routers.peer_delay))
+        let receiver = &self.world.routers[to];
+        let listens = receiver.alive && receiver.still_until <= self.world.now();
+        listens.then(|| self.world.word_delay(from, to)).flatten()
     }
 
     /// A client got its answer.
     pub fn answered(&mut self, request: RequestId, router: usize, answer: Answer) {
         let world = &mut self.world;
-        let now = world.now();
-        let Some(open) = world.routers[router].open.remove(&request) else { return };
-        let answer = if let Answer::Served(_) = answer { Answer::Served(open.commit) } else { answer };
-        world.audit.answered(world.plan, request, matches!(answer, Answer::Refused(_)), now);
-        let second = world.day.second(now);
-        match answer {
-            Answer::Served(_) => {}
-            Answer::Refused(_) => second.refused += 1,
-            Answer::Failed => second.failed += 1,
+        // What its process left behind when it was killed is nobody's answer any more.
+        if !world.routers[router].open.contains_key(&request) {
+            return;
         }
+        let Some(open) = world.settle(router, request, answer) else { return };
+        let answer = if let Answer::Served(_) = answer { Answer::Served(open.commit) } else { answer };
         world.at_client(open.story, answer);
     }
 
@@ -300,17 +281,14 @@
     pub fn finish(self) -> Day {
         self.world.finish()
     }
-
-    /// Time since dawn.
-    pub fn age(&self) -> Micros {
-        self.world.now() - DAWN
-    }
 }
 
 impl World<'_> {
-    /// Says what is to be done outside, if the routers are there.
-    pub(crate) fn order(&mut self, order: Order) {
-        self.outside.iter_mut().for_each(|orders| orders.push(order.clone()));
+    /// Says what is to be done outside, if the routers are there; in virtual days nothing is made for it.
+    pub(crate) fn order(&mut self, order: impl FnOnce() -> Order) {
+        if let Some(orders) = &mut self.outside {
+            orders.push(order());
+        }
     }
 
     /// A client's request goes to the process of a router.
@@ -329,26 +307,21 @@
             repeat: story.left < self.plan.clients.retries,
             after: self.sessions[story.group][story.session],
         };
-        self.order(Order::Ask(Box::new(ask)));
+        self.order(|| Order::Ask(Box::new(ask)));
     }
 
     /// An answer reaches the process of a router.
     pub(crate) fn say_outside(&mut self, router: usize, told: Told) {
         let now = self.now();
-        let Told { request, token, member, outcome, note, report, data, .. } = told;
-        let Some(out) = self.out(router, request, token) else { return };
-        if outcome == Outcome::Served {
-            self.audit.read(self.plan, request, (router, member), data, (out.sent.unwrap_or(now), now));
-        }
-        if let Some(role) = note.role {
-            self.audit.role(router, member, role, now);
-        }
+        let Some(out) = self.out(router, told.request, told.token) else { return };
+        self.witness(router, &told, out);
+        let Told { request, token, outcome, note, report, .. } = told;
         self.audit.ended(request, token, out.sent.unwrap_or(now), outcome.never_ran());
         if let Some(open) = self.routers[router].open.get_mut(&request) {
             open.out = None;
             open.commit = note.position.filter(|_| outcome == Outcome::Served);
         }
-        self.order(Order::Say(token, Box::new(Said { outcome, note, report })));
+        self.order(|| Order::Say(token, Box::new(Said { outcome, note, report })));
     }
 
     /// All that is out between a router and a member whose process died is reset.
@@ -360,12 +333,6 @@
                 self.audit.ended(*request, out.token, out.sent.unwrap_or(now), false);
             }
         }
-        self.order(Order::Reset(router, member));
+        self.order(|| Order::Reset(router, member));
     }
 }
-
-/// What a member is called on sockets.
-pub fn member_of(entry: &Entry) -> usize {
-    let MemberId(number) = entry.member;
-    number as usize
-}
--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -68,6 +68,11 @@
         !self.cuts.iter().any(|cut| takes(&cut))
     }
 
+    /// Whether messages get through both ways.
+    pub fn passes_both(&self, router: usize, member: usize) -> bool {
+        self.passes(router, member, Way::Out) && self.passes(router, member, Way::Back)
+    }
+
     /// Whether a new connection is lost on its way.
     pub fn loses_connection(&mut self) -> bool {
         let share = lost(&self.losses);
--- a/crates/emulator/src/plan.rs
+++ b/crates/emulator/src/plan.rs
@@ -242,7 +242,7 @@
     /// The same day with so many routers in each zone.
     pub fn with_routers(mut self, per_zone: usize) -> Plan {
         self.routers.per_zone = per_zone;
-        self.settings.routers = (per_zone * self.zones.len()) as u32;
+        self.settings.routers = self.router_count() as u32;
         self
     }
 
@@ -256,6 +256,11 @@
         (self.length / SECOND) as usize
     }
 
+    /// Routers over all zones.
+    pub fn router_count(&self) -> usize {
+        self.routers.per_zone * self.zones.len()
+    }
+
     /// Members over all groups.
     pub fn member_count(&self) -> usize {
         self.groups.members.iter().map(Vec::len).sum()
--- a/crates/emulator/src/queue.rs
+++ b/crates/emulator/src/queue.rs
@@ -65,9 +65,14 @@
         self.heap.peek().map(|Reverse(item)| item.at)
     }
 
-    /// The present is this time, if it was earlier: on a clock that is not its own.
-    pub fn forward(&mut self, to: Micros) {
-        self.now = self.now.max(to);
+    /// On a clock that is not its own: what is due until then, one after the other, late as it may be. Once nothing is,
+    /// the present is that time.
+    pub fn advance_to(&mut self, now: Micros) -> Option<T> {
+        if self.due().is_some_and(|at| at <= now) {
+            return self.advance();
+        }
+        self.now = self.now.max(now);
+        None
     }
 
     /// What happens next; the present becomes its time.
@@ -93,4 +98,16 @@
             std::iter::from_fn(|| queue.advance().map(|c| (c, queue.now()))).collect();
         assert_eq!(order, [('x', 10), ('a', 20), ('b', 20), ('c', 30)]);
     }
+
+    #[test]
+    fn on_another_clock_only_what_is_due_happens_and_the_present_follows() {
+        let mut queue = Queue::new(10);
+        queue.at(20, 'a');
+        queue.at(25, 'b');
+        queue.at(40, 'c');
+        assert_eq!([30, 30, 30].map(|now| queue.advance_to(now)), [Some('a'), Some('b'), None]);
+        assert_eq!((queue.now(), queue.due()), (30, Some(40)));
+        assert_eq!(queue.advance_to(5), None);
+        assert_eq!(queue.now(), 30, "no clock goes back");
+    }
 }
--- a/crates/emulator/src/routing.rs
+++ b/crates/emulator/src/routing.rs
@@ -1,8 +1,8 @@
 //! What routers do in a day: they start, stop, hear of the list, take requests and answer them.
 
 use beaconshore::interface::{
-    Action, Consistency, Entry, Event, GroupId, ListKind, MemberId, Outcome, Report, Request, RequestId,
-    SessionId, Settings, Talk, ZoneId,
+    Action, Consistency, Entry, Event, GroupId, ListKind, MemberId, Micros, Outcome, Report, Request,
+    RequestId, SessionId, Settings, Talk, ZoneId,
 };
 use beaconshore_steering::{Plans, Steering};
 use beaconshore_zones::Policy;
@@ -85,7 +85,7 @@
             // Clients find it once it answers.
             self.routers[router].leaving = true;
             self.audit.restarted(router);
-            return self.order(Order::Start(router));
+            return self.order(|| Order::Start(router));
         }
         let settings = Settings { zone: ZoneId(process.zone as u16), ..self.plan.settings.clone() };
         let number = Some(router as u32);
@@ -109,7 +109,7 @@
     /// A router is told to end: new clients find others, and it goes once it had time to finish.
     pub(crate) fn send_off(&mut self, router: usize) {
         self.routers[router].leaving = true;
-        self.order(Order::SendOff(router));
+        self.order(|| Order::SendOff(router));
         let process = (router, self.routers[router].epoch);
         self.queue.after(PARTING, Ev::Leave(process));
     }
@@ -120,24 +120,23 @@
         }
     }
 
-    pub(crate) fn stand_still(&mut self, router: usize, until: beaconshore::interface::Micros) {
+    pub(crate) fn stand_still(&mut self, router: usize, until: Micros) {
         self.routers[router].still_until = until;
         let after = until.saturating_sub(self.now());
-        self.order(Order::Still(router, after));
+        self.order(|| Order::Still(router, after));
     }
 
     pub(crate) fn stop_router(&mut self, router: usize) {
         let process = &mut self.routers[router];
         process.alive = false;
         process.steering = None;
-        let process = &mut self.routers[router];
         let open = std::mem::take(&mut process.open);
         for (request, open) in open {
             self.audit.released(request);
             let notice = self.plan.clients.notice.min(open.ends.saturating_sub(self.queue.now()));
             self.queue.after(notice, Ev::AtClient(open.story, Answer::Failed));
         }
-        self.order(Order::Kill(router));
+        self.order(|| Order::Kill(router));
         for member in 0..self.members.len() {
             let closed = self.routers[router].idle[member].len();
             let m = &mut self.members[member];
@@ -155,7 +154,7 @@
                 Some(known) => *known = entry.clone(),
                 None => self.routers[router].known.push(entry.clone()),
             }
-            self.order(Order::News(router, Box::new(entry.clone())));
+            self.order(|| Order::News(router, Box::new(entry.clone())));
         }
         self.tell(router, &Event::List(kind, entries));
     }
@@ -236,17 +235,23 @@
         self.tell(to.0, &event);
     }
 
-    pub(crate) fn answer(&mut self, router: usize, request: RequestId, answer: Answer) {
+    /// A router's final answer is audited and counted; its request, if it was open.
+    pub(crate) fn settle(&mut self, router: usize, request: RequestId, answer: Answer) -> Option<Open> {
         let now = self.now();
         let refused = matches!(answer, Answer::Refused(_));
         self.audit.answered(self.plan, request, refused, now);
-        let Some(open) = self.routers[router].open.remove(&request) else { return };
+        let open = self.routers[router].open.remove(&request)?;
         let second = self.day.second(now);
         match answer {
             Answer::Served(_) => {}
             Answer::Refused(_) => second.refused += 1,
             Answer::Failed => second.failed += 1,
         }
+        Some(open)
+    }
+
+    pub(crate) fn answer(&mut self, router: usize, request: RequestId, answer: Answer) {
+        let Some(open) = self.settle(router, request, answer) else { return };
         let Some(story) = self.stories.get(&open.story) else { return };
         let delay = self.network.delay(self.routers[router].zone, story.zone);
         self.queue.after(delay, Ev::AtClient(open.story, answer));
--- a/crates/emulator/src/serving.rs
+++ b/crates/emulator/src/serving.rs
@@ -4,7 +4,7 @@
 
 use crate::member::{Health, Job, Received};
 use crate::network::Way;
-use crate::router::Idle;
+use crate::router::{Idle, Out};
 use crate::world::*;
 
 impl World<'_> {
@@ -154,18 +154,24 @@
 
     pub(crate) fn told(&mut self, router: usize, told: Told) {
         let now = self.now();
-        let Told { request, token, member, member_epoch, outcome, note, report, data } = told;
-        let Some(out) = self.out(router, request, token) else { return };
+        let Some(out) = self.out(router, told.request, told.token) else { return };
+        self.witness(router, &told, out);
+        let Told { request, member, member_epoch, outcome, note, report, .. } = told;
         if outcome != Outcome::Reset {
             self.routers[router].idle[member].push(Idle { since: now, epoch: member_epoch });
-            if outcome == Outcome::Served {
-                let sent = out.sent.unwrap_or(now);
-                self.audit.read(self.plan, request, (router, member), data, (sent, now));
-            }
-            if let Some(role) = note.role {
-                self.audit.role(router, member, role, now);
-            }
         }
         self.ended(router, request, outcome, note, report);
     }
+
+    /// What an answer shows the audit: data that was read, and a role. One that was lost shows neither.
+    pub(crate) fn witness(&mut self, router: usize, told: &Told, out: Out) {
+        let now = self.now();
+        if told.outcome == Outcome::Served {
+            let at = (router, told.member);
+            self.audit.read(self.plan, told.request, at, told.data, (out.sent.unwrap_or(now), now));
+        }
+        if let Some(role) = told.note.role {
+            self.audit.role(router, told.member, role, now);
+        }
+    }
 }
--- a/crates/emulator/src/spill.rs
+++ b/crates/emulator/src/spill.rs
@@ -1,10 +1,10 @@
 //! The measures of a day: spill between zones, and the load of members.
 
 use beaconshore::interface::{Consistency, RequestId};
+use beaconshore::sizes::Sizes;
 
 use crate::plan::SECOND;
 use crate::world::*;
-use beaconshore::sizes::Sizes;
 
 impl World<'_> {
     /// A read sent away from a router's zone though its group has a replica there is spilled.
--- a/crates/emulator/src/talking.rs
+++ b/crates/emulator/src/talking.rs
@@ -1,6 +1,6 @@
 //! Probes, and what routers tell each other.
 
-use beaconshore::interface::{Outcome, RequestId};
+use beaconshore::interface::{Micros, Outcome, RequestId};
 
 use crate::member::Health;
 use crate::network::Way;
@@ -38,15 +38,20 @@
             return;
         }
         for other in 0..self.routers.len() {
-            let (from, to) = (self.routers[router].zone, self.routers[other].zone);
             let process = (other, self.routers[other].epoch);
-            let Some(message) = message(process) else { continue };
-            let cut = !self.network.passes(from, to, Way::Out) || !self.network.passes(to, from, Way::Out);
-            if other == router || cut || self.network.loses_word(self.plan.routers.peer_loss) {
-                continue;
-            }
-            let delay = self.network.around(self.plan.routers.peer_delay);
+            let Some(message) = message(process).filter(|_| other != router) else { continue };
+            let Some(delay) = self.word_delay(router, other) else { continue };
             self.queue.after(delay, message);
         }
     }
+
+    /// Time for a message from one router to another; none: it is lost.
+    pub(crate) fn word_delay(&mut self, from: usize, to: usize) -> Option<Micros> {
+        let (a, b) = (self.routers[from].zone, self.routers[to].zone);
+        let cut = !self.network.passes(a, b, Way::Out) || !self.network.passes(b, a, Way::Out);
+        if cut || self.network.loses_word(self.plan.routers.peer_loss) {
+            return None;
+        }
+        Some(self.network.around(self.plan.routers.peer_delay))
+    }
 }
--- a/crates/emulator/src/tally.rs
+++ b/crates/emulator/src/tally.rs
@@ -1,7 +1,6 @@
 //! What a day brought, second by second.
 
 use beaconshore::interface::Micros;
-
 use beaconshore::sizes::Sizes;
 
 use crate::audit::Breach;
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -264,7 +264,7 @@
             Ev::Elect(group, number) => self.elect(group, number),
             Ev::Notice(member, epoch, listed) => self.notice(member, epoch, listed),
             Ev::NoticeRole(group) => self.notice_role(group),
-            Ev::Outside(order) => self.order(*order),
+            Ev::Outside(order) => self.order(|| *order),
             Ev::Second => self.second(),
         }
     }
--- a/crates/emulator/tests/live.rs
+++ b/crates/emulator/tests/live.rs
@@ -44,6 +44,18 @@
         self.live.orders()
     }
 
+    /// A millisecond passes, and all who ask in it are refused; what else was ordered.
+    fn pass_refusing(&mut self) -> Vec<Order> {
+        let (asks, others): (Vec<_>, Vec<_>) =
+            self.pass(MS).into_iter().partition(|order| matches!(order, Order::Ask(_)));
+        for order in asks {
+            if let Order::Ask(ask) = order {
+                self.live.answered(ask.id, ask.router, Answer::Refused(0));
+            }
+        }
+        others
+    }
+
     /// The next request of a class.
     fn asked(&mut self, class: usize) -> Box<Ask> {
         for _ in 0..1_000 {
@@ -72,10 +84,9 @@
     /// The answer to an attempt; requests that come meanwhile are refused.
     fn said(&mut self, token: u64) -> Box<Said> {
         for _ in 0..3_000 {
-            for order in self.pass(MS) {
+            for order in self.pass_refusing() {
                 match order {
                     Order::Say(to, said) if to == token => return said,
-                    Order::Ask(ask) => self.live.answered(ask.id, ask.router, Answer::Refused(0)),
                     _ => {}
                 }
             }
@@ -131,11 +142,7 @@
     let first = script.send(&ask, 0);
     script.live.left(ask.id, first, ask.router);
     for _ in 0..900 {
-        for order in script.pass(MS) {
-            if let Order::Ask(other) = order {
-                script.live.answered(other.id, other.router, Answer::Refused(0));
-            }
-        }
+        script.pass_refusing();
     }
     script.send(&ask, 0);
     script.pass(5 * MS);
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -9,9 +9,9 @@
 use beaconshore_emulator::tally::Second;
 use beaconshore_emulator::{play, Brains, Day, Plan};
 use beaconshore_rig::{run, Outcome, Program};
-use hdrhistogram::Histogram;
 
 use crate::cli::Verdict;
+use crate::measures::times;
 
 /// Breaches that are named.
 const NAMED: usize = 10;
@@ -109,8 +109,8 @@
         both("attempts", &|d| sum(d, |s| s.attempts) / stories(d)),
         both("probes", &|d| sum(d, |s| s.probes) / stories(d)),
         both("messages to all", &|d| sum(d, |s| s.told) / stories(d)),
-        both("median time of an answer, ms", &|d| quantile(d, from, 0.5)),
-        both("99th percentile, ms", &|d| quantile(d, from, 0.99)),
+        both("median time of an answer, ms", &|d| quantile(d, 0.5)),
+        both("99th percentile, ms", &|d| quantile(d, 0.99)),
         both("busiest member over the mean, in a second (median)", &|d| peak(d, from, to)),
         both("members pushed over", &|d| f64::from(d.fallen)),
         both("broken rules", &|d| d.breaches.len() as f64),
@@ -123,14 +123,9 @@
     windows.min_by(f64::total_cmp).unwrap_or(0.0)
 }
 
-fn quantile(day: &Day, from: usize, part: f64) -> f64 {
-    let Ok(mut times) = Histogram::<u64>::new(3) else { return f64::NAN };
-    let counted = day.latencies.iter().filter(|(_, second, _)| usize::from(*second) >= from);
-    for (_, _, took) in counted {
-        // The table grows with what it is given; what does not fit its memory is left out.
-        let _ = times.record(u64::from(*took));
-    }
-    times.value_at_quantile(part) as f64 / 1e3
+/// Only what counts has a time: nothing before the day settled.
+fn quantile(day: &Day, part: f64) -> f64 {
+    times(std::iter::once(day), None, None).value_at_quantile(part) as f64 / 1e3
 }
 
 /// The median over seconds of the busiest member's load over the mean.
--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -17,7 +17,7 @@
 use futures_lite::{future, AsyncWriteExt};
 
 use crate::mail::Mail;
-use crate::wire::{message, query, startup, Inbox};
+use crate::wire::{fields, message, query, startup, Inbox};
 
 /// So much longer than its time a client listens for its answer: a late one is told apart from none.
 const LISTENS: Duration = Duration::from_secs(2);
@@ -162,9 +162,8 @@
                 b'Z' => break,
                 b'D' => served = true,
                 b'E' => {
-                    for field in content.split(|b| *b == 0).filter(|field| !field.is_empty()) {
-                        let value = String::from_utf8_lossy(&field[1..]).into_owned();
-                        match field[0] {
+                    for (kind, value) in fields(&content) {
+                        match kind {
                             b'C' => code = Some(value),
                             b'D' => after = value.parse::<Micros>().unwrap_or(0) * 1000,
                             _ => {}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -16,7 +16,7 @@
 mod play;
 mod process;
 mod store;
-mod wire;
+pub mod wire;
 
 pub use play::{run, Outcome};
 pub use process::Program;
--- a/crates/rig/src/mail.rs
+++ b/crates/rig/src/mail.rs
@@ -24,6 +24,15 @@
     pub socket: Rc<Async<TcpStream>>,
 }
 
+/// What a connection waits for.
+#[derive(Clone, Copy)]
+pub struct Under {
+    /// The request that an attempt carries; none: a probe.
+    pub request: Option<RequestId>,
+    /// The attempt or probe.
+    pub token: u64,
+}
+
 /// What a connection is told.
 pub enum Back {
     /// The answer to its attempt.
@@ -42,8 +51,8 @@
     Came { request: RequestId, token: u64, link: Link, epoch: u32, first: bool },
     /// A probe came.
     Probe { token: u64, link: Link },
-    /// A connection that was up ended, under this attempt if there is one.
-    Closed { number: u64, router: usize, member: usize, epoch: u32, under: Option<(RequestId, u64)> },
+    /// A connection that was up ended, and what it was in the middle of.
+    Closed { number: u64, router: usize, member: usize, epoch: u32, under: Option<Under> },
     /// A client got its answer.
     Answered { request: RequestId, router: usize, answer: Answer },
     /// A client's connection ended without one; whether the process had taken the request.
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -2,8 +2,7 @@
 //! happens on sockets.
 
 use std::cell::Cell;
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::HashMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
@@ -18,6 +17,7 @@
 use beaconshore::interface::{Micros, Outcome as Ended, RequestId};
 use beaconshore_emulator::live::{Live, Order, Welcome};
 use beaconshore_emulator::plan::{DAWN, SECOND};
+use beaconshore_emulator::queue::Queue;
 use beaconshore_emulator::{Day, Plan};
 use futures_lite::future;
 
@@ -25,7 +25,7 @@
 use crate::clients::Clients;
 use crate::config::{config, entry, Ways};
 use crate::hub::Hub;
-use crate::mail::{Back, Link, Mail};
+use crate::mail::{Back, Link, Mail, Under};
 use crate::process::{Process, Program};
 use crate::store::Store;
 
@@ -62,8 +62,13 @@
     pub broken_off: bool,
 }
 
-/// Something that is to happen at a time, in the order of time.
-type Due<T> = BinaryHeap<Reverse<(Micros, u64, T)>>;
+/// What the rig itself is to do at a time.
+enum Later {
+    /// Hand a datagram over.
+    Pass { from: usize, to: usize, bytes: Rc<[u8]> },
+    /// Let a process that stands still go on.
+    GoOn(usize),
+}
 
 struct Play<'p> {
     plan: &'p Plan,
@@ -84,10 +89,7 @@
     /// Connections that are up, by number, with the start of their process; and what each attempt or probe waits on.
     links: HashMap<u64, (Link, u64)>,
     waiting: HashMap<u64, Link>,
-    /// The attempt that is out of a request.
-    out: HashMap<RequestId, u64>,
-    datagrams: Due<(usize, usize, Rc<[u8]>)>,
-    wakes: Due<usize>,
+    later: Queue<Later>,
     outcome: Counts,
 }
 
@@ -98,7 +100,6 @@
     lost: u64,
     connections: u64,
     behind: Micros,
-    number: u64,
 }
 
 static RUNS: AtomicU32 = AtomicU32::new(0);
@@ -112,8 +113,8 @@
 
 /// Plays a day on processes of a program; it is broken off when `stop` is set.
 pub fn run(plan: &Plan, seed: u64, program: &Program, stop: &AtomicBool) -> io::Result<Outcome> {
-    let routers = (plan.routers.per_zone * plan.zones.len()) as u64;
-    let lead = (routers * SECOND / STARTS_IN_A_SECOND).max(LEAST_LEAD) / SECOND * SECOND + SECOND;
+    let lead =
+        (plan.router_count() as u64 * SECOND / STARTS_IN_A_SECOND).max(LEAST_LEAD) / SECOND * SECOND + SECOND;
     let played = plan.clone().after(lead);
     let folder = tempfile::tempdir()?;
     let executor = Rc::new(LocalExecutor::new());
@@ -125,7 +126,7 @@
     play.processes.clear();
     let (day, broken_off) = (play.live.finish(), stop.load(Ordering::Relaxed));
     let behind = Duration::from_micros(behind);
-    Ok(Outcome { plan: played.clone(), day, came, passed, lost, connections, behind, broken_off })
+    Ok(Outcome { plan: played, day, came, passed, lost, connections, behind, broken_off })
 }
 
 impl<'p> Play<'p> {
@@ -139,7 +140,7 @@
     ) -> io::Result<Self> {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_err(io::Error::other)?;
         let offset = unix.as_micros() as Micros - DAWN;
-        let routers = plan.routers.per_zone * plan.zones.len();
+        let routers = plan.router_count();
         let run = RUNS.fetch_add(1, Ordering::Relaxed);
         let listens: Vec<SocketAddr> = (0..routers).map(|n| address(run, n, 7946)).collect();
         let hub = Hub::new(listens.clone())?;
@@ -181,9 +182,7 @@
             starts: vec![0; routers],
             links: HashMap::new(),
             waiting: HashMap::new(),
-            out: HashMap::new(),
-            datagrams: BinaryHeap::new(),
-            wakes: BinaryHeap::new(),
+            later: Queue::new(DAWN),
             outcome: Counts { came: vec![0; plan.member_count()], ..Counts::default() },
         })
     }
@@ -207,7 +206,7 @@
                 watched = Instant::now();
                 self.watch();
             }
-            let next = [self.live.due(), due(&self.datagrams), due(&self.wakes)].into_iter().flatten().min();
+            let next = [self.live.due(), self.later.due()].into_iter().flatten().min();
             let wait = next.map_or(TICK, |at| Duration::from_micros(at.saturating_sub(self.now())).min(TICK));
             let tick = async {
                 Timer::after(wait).await;
@@ -231,11 +230,11 @@
             self.outcome.behind = self.outcome.behind.max(now.saturating_sub(at));
         }
         self.live.advance(now);
-        while let Some(Reverse((_, _, (from, to, bytes)))) = take_due(&mut self.datagrams, now) {
-            self.hub.pass(from, to, &bytes);
-        }
-        while let Some(Reverse((_, _, router))) = take_due(&mut self.wakes, now) {
-            self.processes[router].iter().for_each(Process::go_on);
+        while let Some(later) = self.later.advance_to(now) {
+            match later {
+                Later::Pass { from, to, bytes } => self.hub.pass(from, to, &bytes),
+                Later::GoOn(router) => self.processes[router].iter().for_each(Process::go_on),
+            }
         }
         self.obey();
     }
@@ -263,7 +262,6 @@
                 }
                 self.outcome.came[link.member] += 1;
                 self.close_earlier(request, link.router);
-                self.out.insert(request, token);
                 let at = (link.router, link.member);
                 self.waiting.insert(token, link);
                 self.live.came(request, token, at, epoch, first);
@@ -276,11 +274,10 @@
             Mail::Closed { number, router, member, epoch, under } => {
                 self.links.remove(&number);
                 self.live.disconnects(member, epoch);
-                if let Some((request, token)) = under {
-                    self.live.left(request, token, router);
-                    self.out.remove(&request);
+                if let Some(Under { request, token }) = under {
+                    self.waiting.remove(&token);
+                    request.into_iter().for_each(|request| self.live.left(request, token, router));
                 }
-                self.waiting.retain(|_, link| link.number != number);
             }
             Mail::Answered { request, router, answer } => self.live.answered(request, router, answer),
             Mail::Dropped { request, router, taken } => self.live.dropped(request, router, taken),
@@ -295,9 +292,8 @@
                     match self.live.hears(from, to) {
                         Some(after) => {
                             self.outcome.passed += 1;
-                            self.outcome.number += 1;
-                            let at = (self.now() + after, self.outcome.number, (from, to, bytes.clone()));
-                            self.datagrams.push(Reverse(at));
+                            let bytes = bytes.clone();
+                            self.later.at(self.now() + after, Later::Pass { from, to, bytes });
                         }
                         None => self.outcome.lost += 1,
                     }
@@ -310,7 +306,7 @@
     /// A process that gave an attempt up has closed its connection before it sent the next; that the socket of the next is
     /// read first is no second attempt.
     fn close_earlier(&mut self, request: RequestId, router: usize) {
-        let Some(token) = self.out.remove(&request) else { return };
+        let Some(token) = self.live.attempt(request, router) else { return };
         let Some(link) = self.waiting.get(&token) else { return };
         if link.socket.get_ref().peek(&mut [0]).is_ok_and(|count| count == 0) {
             self.live.left(request, token, router);
@@ -331,17 +327,15 @@
                 Order::SendOff(router) => self.processes[router].iter_mut().for_each(Process::send_off),
                 Order::Still(router, after) => {
                     self.processes[router].iter().for_each(Process::stop);
-                    self.outcome.number += 1;
-                    self.wakes.push(Reverse((self.now() + after, self.outcome.number, router)));
+                    self.later.at(self.now() + after, Later::GoOn(router));
                 }
                 Order::Ask(ask) => self.clients[ask.router].ask(self.plan, &ask, self.offset),
                 Order::Say(token, said) => {
-                    self.out.retain(|_, out| *out != token);
                     let reset = said.outcome == Ended::Reset;
                     self.back(token, if reset { Back::Reset } else { Back::Say(said) });
                 }
                 Order::Probed(token, report) => {
-                    report.into_iter().for_each(|report| self.back(token, Back::Probed(report)));
+                    self.back(token, Back::Probed(report));
                 }
                 Order::Reset(router, member) => {
                     let hit = |(link, _): &&(Link, u64)| (link.router, link.member) == (router, member);
@@ -397,15 +391,3 @@
         self.obey();
     }
 }
-
-fn due<T: Ord>(queue: &Due<T>) -> Option<Micros> {
-    queue.peek().map(|Reverse((at, ..))| *at)
-}
-
-fn take_due<T: Ord>(queue: &mut Due<T>, now: Micros) -> Option<Reverse<(Micros, u64, T)>> {
-    if due(queue).is_some_and(|at| at <= now) {
-        queue.pop()
-    } else {
-        None
-    }
-}
--- a/crates/rig/src/store.rs
+++ b/crates/rig/src/store.rs
@@ -15,7 +15,7 @@
 use beaconshore_emulator::live::{Said, Welcome};
 use futures_lite::{future, AsyncWriteExt};
 
-use crate::mail::{Back, Link, Mail};
+use crate::mail::{Back, Link, Mail, Under};
 use crate::wire::{message, named, put, put_error, put_row, put_status, value_of, Inbox};
 
 /// What every connection shares.
@@ -42,8 +42,7 @@
     told: Receiver<Back>,
     epoch: u32,
     first: bool,
-    /// The attempt that is out on it.
-    under: Option<(RequestId, u64)>,
+    under: Option<Under>,
 }
 
 impl Store {
@@ -83,7 +82,7 @@
                 while inbox.more(&socket).await.unwrap_or(false) {}
                 return;
             }
-            Ok(Welcome::Refused) | Err(_) => return,
+            Ok(Welcome::Refused(_)) | Err(_) => return,
         };
         let mail = self.mail.clone();
         let number = link.number;
@@ -129,27 +128,28 @@
         let mut out = Vec::new();
         let token = self.store.number();
         if text.starts_with("SHOW ") || text == "SELECT 1" {
+            self.under = Some(Under { request: None, token });
             let _ = self.store.mail.try_send(Mail::Probe { token, link: self.link.clone() });
             let Some(Back::Probed(report)) = self.back(inbox).await else { return Ok(Then::End) };
             put_row(&mut out, self.report(&report).as_bytes());
         } else if let Some(id) = named(text, "id").and_then(|id| u64::from_str_radix(id, 16).ok()) {
             let request = RequestId(id);
-            self.under = Some((request, token));
+            self.under = Some(Under { request: Some(request), token });
             let (link, epoch, first) = (self.link.clone(), self.epoch, std::mem::take(&mut self.first));
             let _ = self.store.mail.try_send(Mail::Came { request, token, link, epoch, first });
             let Some(Back::Say(said)) = self.back(inbox).await else { return Ok(Then::End) };
-            self.under = None;
             match said.outcome {
                 Outcome::Served => put_row(&mut out, &value_of(text)),
-                Outcome::Full => put_error(&mut out, "53300"),
-                Outcome::Misplaced => put_error(&mut out, "25006"),
-                Outcome::Error => put_error(&mut out, "XX000"),
+                Outcome::Full => put_error(&mut out, "ERROR", "53300"),
+                Outcome::Misplaced => put_error(&mut out, "ERROR", "25006"),
+                Outcome::Error => put_error(&mut out, "ERROR", "XX000"),
                 _ => return Ok(Then::End),
             }
             self.statuses(&mut out, &said);
         } else {
-            put_error(&mut out, "08P01");
+            put_error(&mut out, "ERROR", "08P01");
         }
+        self.under = None;
         put(&mut out, b'Z', b"I");
         (&*self.link.socket).write_all(&out).await?;
         Ok(Then::Next)
--- a/crates/rig/src/wire.rs
+++ b/crates/rig/src/wire.rs
@@ -29,9 +29,9 @@
     put(out, b'C', b"SELECT 1\0");
 }
 
-/// Appends an error with a code.
-pub fn put_error(out: &mut Vec<u8>, code: &str) {
-    put(out, b'E', format!("SERROR\0C{code}\0Mby the day's plan\0\0").as_bytes());
+/// Appends an error of a severity with a code.
+pub fn put_error(out: &mut Vec<u8>, severity: &str, code: &str) {
+    put(out, b'E', format!("S{severity}\0C{code}\0Mas told\0\0").as_bytes());
 }
 
 /// Appends a value that the server tells of itself.
@@ -52,6 +52,12 @@
     out
 }
 
+/// The fields of an error, each with its kind.
+pub fn fields(error: &[u8]) -> impl Iterator<Item = (u8, String)> + '_ {
+    let fields = error.split(|b| *b == 0).filter(|field| !field.is_empty());
+    fields.map(|field| (field[0], String::from_utf8_lossy(&field[1..]).into_owned()))
+}
+
 /// The value that a member gives for a statement: what its first quotes hold, between bytes that are no text.
 pub fn value_of(statement: &str) -> Vec<u8> {
     let key = statement.split('\'').nth(1).unwrap_or_default();
