How rarely a lagging replica is asked, and told of, is one figure in one place

Found by reading the change again: src/telling.rs repeated the quarter of a lag and the longest probing period of `probe_for` in constants of its own, though its words have to follow the probes they spare; one could have changed without the other.

Behaviour is as it was.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,13 +5,11 @@
 
 use crate::interface::*;
 use crate::random::{share_of, Random};
-use crate::scouting::Scouting;
+use crate::scouting::{lag_pause, Scouting, PROBE_PERIOD};
 use crate::telling::Telling;
 
 /// Pause between rounds of due work, in steps: short against every aim, dear in no site's CPU share.
 const TICK_STEPS: u64 = 2;
-/// Longest period of ordinary probing (the design's default), in microseconds.
-const PROBE_PERIOD: Micros = 1_000_000;
 /// Pause between probes of one member while its group's primary is sought, in microseconds.
 const SEARCH_PERIOD: Micros = 100_000;
 /// That pause is at least this part of the time for which the primary has been silent.
@@ -754,8 +752,8 @@
         let nearest = fresh.iter().chain(&stale).map(|m| self.tier(m.zone)).min();
         let near = |m: &&&Member| Some(self.tier(m.zone)) == nearest;
         let least = if fresh.iter().any(|m| near(&m)) { PROBE_PERIOD } else { bound / 2 };
-        // One that lags far needs time to catch up: it is asked less often.
-        let pause = |m: &Member| least.max(self.now.saturating_sub(m.position) / 4).min(PROBE_PERIOD);
+        let lag = |m: &Member| self.now.saturating_sub(m.position);
+        let pause = |m: &Member| least.max(lag_pause(lag(m))).min(PROBE_PERIOD);
         let due = stale.iter().filter(|m| m.heard == 0 || fresh.is_empty() || near(m));
         // Each of a fleet takes its part of those that may be asked: new ones, then the nearest; or by lot.
         let ripe = |m: &&&Member| !m.probe_out && self.now >= m.heard.max(m.probe_sent) + pause(m);
--- a/src/scouting.rs
+++ b/src/scouting.rs
@@ -13,6 +13,16 @@
 /// So many routers find a thing out for all. One may be cut off or die with the news; of three, two may.
 const SCOUTS: u64 = 3;
 
+/// Longest period of ordinary probing (the design's default), in microseconds.
+pub const PROBE_PERIOD: Micros = 1_000_000;
+/// A replica that lags is asked again after this part of its lag.
+const LAG_SHARE: Micros = 4;
+
+/// Pause before a replica that lags is asked again, in microseconds: one that lags far needs time to catch up.
+pub fn lag_pause(lag: Micros) -> Micros {
+    (lag / LAG_SHARE).min(PROBE_PERIOD)
+}
+
 /// A router's part in finding out.
 #[derive(Clone, Copy, Debug)]
 pub struct Scouting {
@@ -91,6 +101,14 @@
         assert_eq!(fleet(300, true).pause(100, 1_000), 1_000, "the longest pause bounds what silence costs");
     }
 
+    #[test]
+    fn a_replica_is_asked_more_rarely_the_further_it_lags_but_within_the_usual_period() {
+        assert_eq!(
+            [0, 400_000, 4_000_000, 60_000_000].map(lag_pause),
+            [0, 100_000, PROBE_PERIOD, PROBE_PERIOD]
+        );
+    }
+
     #[test]
     fn what_a_read_cannot_do_without_is_asked_by_each() {
         assert_eq!([0, 1, 2, 4].map(|due| fleet(300, true).part(due)), [0, 1, 1, 1]);
--- a/src/telling.rs
+++ b/src/telling.rs
@@ -7,14 +7,10 @@
 //! while nobody is heard, and what repeats that a replica lags far, which others would not ask again so soon.
 
 use crate::interface::{Micros, Settings, Word};
+use crate::scouting::{lag_pause, PROBE_PERIOD};
 
 /// Positions are told once in this part of the tightest bound.
 const NEWS: u64 = 2;
-/// What others would ask again at the soonest: of a primary known as such, of a replica that lags far. The longest
-/// period of ordinary probing, in microseconds.
-const ASKED_AGAIN: Micros = 1_000_000;
-/// A replica that lags is asked again after this part of its lag.
-const LAG_SHARE: u64 = 4;
 /// Others that talk are heard within this; after it a router takes itself for cut off, in microseconds.
 const DEAF: Micros = 1_000_000;
 /// A router that hears nobody gathers its words for this long, in microseconds. It still tells them: the others may hear
@@ -24,7 +20,7 @@
 /// A router's part in telling.
 #[derive(Clone, Debug, Default)]
 pub struct Telling {
-    /// Whether the site permits messages, and there is anyone to hear them.
+    /// Whether the site permits messages.
     allowed: bool,
     bound: Micros,
     words: Vec<Word>,
@@ -49,8 +45,8 @@
     pub fn is_news(&self, position: Micros, known: bool, shared: Micros, now: Micros) -> bool {
         let lag = now.saturating_sub(position);
         let period = match known {
-            true => self.bound.max(ASKED_AGAIN) / NEWS,
-            false if lag > self.bound => (lag / LAG_SHARE).min(ASKED_AGAIN).max(self.bound / NEWS),
+            true => self.bound.max(PROBE_PERIOD) / NEWS,
+            false if lag > self.bound => lag_pause(lag).max(self.bound / NEWS),
             false => self.bound / NEWS,
         };
         self.allowed && now > shared.saturating_add(period)
