--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -114,6 +114,7 @@
             lag_check: LagCheck::Router,
             limits: Limits {
                 max_attempts: 8,
+                connect_timeout: 0,
                 max_retry_after: SECOND,
                 retry_after: true,
                 probes: e.routers.as_ref().and_then(|r| r.probes).unwrap_or(true),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -187,6 +187,7 @@
             },
             limits: api::Limits {
                 max_attempts: facts.limits.max_attempts,
+                connect_timeout: facts.limits.connect_timeout_us,
                 max_retry_after: facts.limits.max_retry_after_us,
                 retry_after: facts.limits.retry_after,
                 probes: facts.limits.probes,
--- a/crates/steering/benches/cost.rs
+++ b/crates/steering/benches/cost.rs
@@ -31,6 +31,7 @@
         ],
         limits: Limits {
             max_attempts: 8,
+            connect_timeout: 0,
             max_retry_after: 1_000 * MS,
             retry_after: true,
             probes: true,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -124,6 +124,8 @@
 pub struct Limits {
     /// Attempts for each request.
     pub max_attempts: u32,
+    /// A connection that is not up by then never comes up; 0: not told.
+    pub connect_timeout: Micros,
     /// Longest wait that a client heeds.
     pub max_retry_after: Micros,
     /// Whether advice on when to come back reaches clients.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -20,10 +20,16 @@
 const DROP_FAILURES: u32 = 3;
 /// Overdue or unanswered attempts in a row that make a member silent; one may be its connection's fault.
 const SILENT: u32 = 2;
+/// Errors that tell of a request rather than of the members that answered with them.
+const ERRORS: u32 = 2;
 /// Share of a member's limit on open attempts that reads may take at a primary; the rest is for writes.
 const READ_SHARE: f64 = 0.6;
 /// Share of an aim, less three times the work, that waiting may take on average.
 const SPARE_SHARE: f64 = 0.25;
+/// A replica that turned a read away for its lag is not asked on a guess so soon again, in microseconds.
+const TURNED: Micros = 250_000;
+/// Attempts for which a read trusts members to check: then what is known has to do.
+const GUESSES: usize = 3;
 /// Share of a member's limit that client repeats may take which hardly earn anything.
 const SPENT_SHARE: f64 = 0.05;
 /// Weight of a new sample in running means: about the last ten answers count.
@@ -63,6 +69,7 @@
     started: Option<Micros>,
     position: Micros, // Position that it has certainly reached, and when that was learnt.
     heard: Micros,
+    turned: Micros, // Last time at which it turned a read away for its lag.
     denied: Micros, // Last time at which it said that it is no primary.
     shared: Micros, // When routers last told each other of it.
     listed_primary: bool,
@@ -105,8 +112,9 @@
     floor: Micros,       // Position that a member must have reached to serve it (sessions).
     out: Option<Micros>, // When the attempt that is out was sent.
     tried: Vec<MemberId>,
-    narrow: Narrow, // By its route: this is heeded beside all else, never instead.
-    rests: Micros,  // No attempt before this time.
+    errors: u32,                      // Members that answered with an error.
+    narrow: Narrow,                   // By its route: this is heeded beside all else, never instead.
+    rests: Micros,                    // No attempt before this time.
     risk: Option<(Micros, MemberId)>, // First send that may have run, and where.
 }
 
@@ -319,10 +327,21 @@
         let position =
             ended.note.position.filter(|_| outcome != Outcome::Served || !self.is_write(attempt.class));
         self.learn(id, position, ended.note.role, now);
+        let warm = self.members.get(&id).is_some_and(|m| self.warmth(m) >= 1.0);
         let Some(m) = self.members.get_mut(&id) else { return };
+        // What a warm member turned away or answered with an error is no measure of what a cold one can do.
+        if warm && (outcome.never_ran() || outcome == Outcome::Error) {
+            m.load = (m.load - self.services[attempt.class].base).max(0.0);
+        }
         let (was_silent, tail) = (m.is_silent(), self.services[attempt.class].tail());
         // One that others outran was lost by its connection, and says nothing of its member.
         let lost = outcome == Outcome::TimedOut && m.last_answer >= attempt.sent;
+        let bound = matches!(
+            self.settings.classes[attempt.class].consistency,
+            Consistency::Write | Consistency::Fresh
+        );
+        let lags = outcome == Outcome::Misplaced && !bound;
+        m.turned = if lags { now } else { m.turned };
         match outcome {
             Outcome::Served | Outcome::Misplaced | Outcome::Error => {
                 (m.failures, m.unanswered, m.last_answer) = (0, 0, now);
@@ -335,7 +354,11 @@
         }
         // A member that nobody heard of late is rather dead than out of connections.
         let alive = !m.dark && now < m.heard.max(m.last_answer).saturating_add(PROBE_PERIOD);
-        self.refused += GAIN * (f64::from(outcome == Outcome::Unreachable && alive) - self.refused);
+        // A full table turns away at once. What takes as long as it may is slow to set up: idle ones help.
+        let limit = self.settings.limits.connect_timeout;
+        let quick = limit == 0 || ended.took < limit / 2;
+        let refused = outcome == Outcome::Unreachable && alive && quick;
+        self.refused += GAIN * (f64::from(refused) - self.refused);
         self.lost += GAIN / 20.0 * (f64::from(lost) - self.lost);
         // Members that accept few connections are not to have them taken up by idle ones of a whole fleet.
         out.extend((m.open.is_empty() && self.refused > SCARCE).then_some(Action::CloseIdle(id)));
@@ -520,7 +543,9 @@
         let long = any && self.services[held.class].base > self.bound as f64;
         let lag = |m: &Member| if long { m.heard.saturating_sub(m.position) } else { 0 };
         let alike = |m: &Member| ((1.0 - self.lot(held, m)) * 1e9) as u64;
-        let turn = |m: &Member| (u64::MAX - lag(m), self.tier(m.zone), m.last_sent, m.open.len(), alike(m));
+        let guess = |m: &Member| self.checks() && self.lagged(m);
+        let order = |m: &Member| (u64::MAX - lag(m), guess(m), self.tier(m.zone));
+        let turn = |m: &Member| (order(m), m.last_sent, m.open.len(), alike(m));
         among.filter(|m| self.has_room(held, m)).min_by_key(|m| turn(m)).map(|m| m.id)
     }
 
@@ -541,19 +566,27 @@
 
     /// Whether a member's known position is enough for this read.
     fn is_fresh(&self, held: &Held, m: &Member) -> bool {
+        // Members that check are asked on an outdated record too, unless they turned one away of late: late
+        // reports make all seem to lag, and few routers hear of a member as often as a session's token needs.
+        // A cold one that lags would be worn out by what it turns away.
+        let willing = self.now >= m.turned + TURNED && (!self.lagged(m) || self.warmth(m) >= 1.0);
+        let checks = self.checks() && m.heard > 0 && willing && held.tried.len() < GUESSES;
         match self.settings.classes[held.class].consistency {
-            // Members that check for themselves are asked on an outdated record too, unless it was of a lag.
             Consistency::Bounded(bound) => {
-                let asked = self.settings.lag_check == LagCheck::Member && held.narrow.staleness >= bound;
-                let checks = asked && m.heard > 0 && !self.lagged(m);
-                checks || self.now <= m.position.saturating_add(bound.min(held.narrow.staleness))
+                let oldest = bound.min(held.narrow.staleness);
+                checks && oldest == bound || self.now <= m.position.saturating_add(oldest)
             }
-            Consistency::Session => m.position >= held.floor,
+            Consistency::Session => checks || m.position >= held.floor,
             Consistency::Any => true,
             Consistency::Write | Consistency::Fresh => false,
         }
     }
 
+    /// Whether members turn away what they lag too far behind for.
+    fn checks(&self) -> bool {
+        self.settings.lag_check == LagCheck::Member
+    }
+
     /// Whether its last word put it further behind than the tightest bound.
     fn lagged(&self, m: &Member) -> bool {
         m.heard > m.position.saturating_add(self.bound)
@@ -609,6 +642,10 @@
         let others = || self.group_members(m.group).filter(|o| !o.barred);
         let up = others().filter(|o| o.failures == 0 && !o.is_silent()).count() as f64 / 2.0;
         let part = if self.is_write(held.class) { 1.0 } else { up.max(1.0) / others().count().max(1) as f64 };
+        // What failed elsewhere is no reason for more here: reads come on their first attempt only.
+        if !held.tried.is_empty() && !self.is_primary(m) {
+            return false;
+        }
         let work = self.services[held.class].base;
         let load = |m| load_left(m, self.now, self.settings.rules.fall_window);
         let warm = others().filter(|o| self.warmth(o) >= 1.0);
@@ -670,6 +707,7 @@
         let Some(held) = self.held.get_mut(&id) else { return };
         let (class, group) = (held.class, held.group);
         let ran = held.out.take().filter(|_| !ended.outcome.never_ran());
+        held.errors += u32::from(ended.outcome == Outcome::Error);
         held.risk = held.risk.or(ran.map(|sent| (sent, ended.member)));
         if ended.finished {
             let marks = (held.session, ended.note.position);
@@ -695,7 +733,7 @@
         let useful = if class.late_worth > 0.0 { held.ends } else { held.arrived + class.aim };
         let end = end.saturating_sub(2 * self.tick).min(useful.saturating_sub(service.mean as Micros));
         let spent = held.tried.len() >= self.settings.limits.max_attempts.min(held.narrow.attempts) as usize;
-        spent || !self.may_repeat(held, None) || self.now >= end
+        spent || held.errors >= ERRORS || !self.may_repeat(held, None) || self.now >= end
     }
 
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
@@ -755,17 +793,23 @@
         let lag = |m: &Member| self.now.saturating_sub(m.position);
         let pause = |m: &Member| least.max(lag_pause(lag(m))).min(PROBE_PERIOD);
         let due = stale.iter().filter(|m| m.heard == 0 || fresh.is_empty() || near(m));
-        // Each of a fleet takes its part of those that may be asked: new ones, then the nearest; or by lot.
+        // Each of a fleet takes its part of those that may be asked: new ones, then the nearest; or by lot, so
+        // that each is heard of about as often however little a router is asked.
         let ripe = |m: &&&Member| !m.probe_out && self.now >= m.heard.max(m.probe_sent) + pause(m);
         let mut due: Vec<&&Member> = due.filter(ripe).collect();
         due.sort_by_key(|m| (m.heard > 0, self.lagged(m), self.tier(m.zone), m.probe_sent));
         let needs = fresh.is_empty() || due.first().is_some_and(|m| m.heard == 0);
         let part = self.scouting.part(due.len());
         let asked = part < due.len() && self.group_members(held.group).any(|m| self.is_awaited(m));
-        let due = due.into_iter().take(part).map(|m| (m.id, pause(m))).collect();
-        if needs && !asked || !needs && self.scouting.is_scout(&mut self.random) {
-            self.probe_all(due, out);
-        }
+        let gap =
+            self.groups.get(&held.group).filter(|g| g.asked > 0).map(|g| self.now.saturating_sub(g.asked));
+        let due: Vec<(MemberId, Micros)> = due.into_iter().map(|m| (m.id, pause(m))).collect();
+        let due = match needs {
+            true if asked => return,
+            true => due.into_iter().take(part).collect(),
+            false => self.scouting.share(due, gap, bound.max(PROBE_PERIOD) / 2, &mut self.random),
+        };
+        self.probe_all(due, out);
     }
 
     /// A read in line has replicas probed again: what was asked when it came may have told nothing.
--- a/src/scouting.rs
+++ b/src/scouting.rs
@@ -54,6 +54,16 @@
         all.filter(|_| self.is_scout(random)).collect()
     }
 
+    /// Those of which this router finds out, on an occasion that it last had `gap` ago (microseconds): each with a chance
+    /// that grows with it, so that the fleet asks `SCOUTS` times in a period for each; all on its first one. A chance for
+    /// each request instead would ask the more rarely the less each router is asked: many replicas would stay unknown,
+    /// and all reads of the fleet meet at the few that are not.
+    pub fn share<T>(self, all: Vec<T>, gap: Option<Micros>, period: Micros, random: &mut Random) -> Vec<T> {
+        let (fleet, gap) = (self.fleet, gap.filter(|_| self.fleet > SCOUTS));
+        let mut mine = |gap: Micros| random.draw(fleet.saturating_mul(period)) < gap.saturating_mul(SCOUTS);
+        all.into_iter().filter(|_| gap.is_none_or(&mut mine)).collect()
+    }
+
     /// How many of so many members this router asks itself while it can't do without an answer: at least one, for
     /// it may be the only one that is asked for them.
     pub fn part(self, due: usize) -> usize {
@@ -101,6 +111,26 @@
         assert_eq!(fleet(300, true).pause(100, 1_000), 1_000, "the longest pause bounds what silence costs");
     }
 
+    #[test]
+    fn each_member_is_asked_for_as_often_whatever_a_router_is_asked() {
+        const SECOND: Micros = 1_000_000;
+        for gap in [SECOND / 10, SECOND, 5 * SECOND] {
+            let mut random = Random::new(7);
+            let occasions = 300 * 100 * SECOND / gap;
+            let ask = |_| fleet(300, true).share(vec![()], Some(gap), SECOND, &mut random).len();
+            // In 100 s; five standard deviations of chance.
+            let asked: usize = (0..occasions).map(ask).sum();
+            assert!((213..=387).contains(&asked), "{asked} times with a request every {gap} us");
+        }
+        let mut random = Random::new(7);
+        assert_eq!(
+            fleet(300, true).share(vec![1, 2], None, SECOND, &mut random),
+            [1, 2],
+            "a fresh router asks"
+        );
+        assert_eq!(fleet(3, true).share(vec![1, 2], Some(0), SECOND, &mut random), [1, 2], "few ask for all");
+    }
+
     #[test]
     fn a_replica_is_asked_more_rarely_the_further_it_lags_but_within_the_usual_period() {
         assert_eq!(
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -37,6 +37,7 @@
         lag_check: LagCheck::Router,
         limits: Limits {
             max_attempts: 8,
+            connect_timeout: 250 * MS,
             max_retry_after: 1_000 * MS,
             retry_after: true,
             probes: true,
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -120,6 +120,8 @@
     let asks = |seed| {
         let (mut stage, _) = Stage::seeded(seed, among(FLEET), &entries());
         told(&mut stage, 2, Role::Replica);
+        let (first, actions) = stage.ask(READ);
+        assert_eq!(sent(&actions, first), Some(2));
         stage.now += 2 * BOUND;
         told(&mut stage, 3, Role::Replica);
         let (id, actions) = stage.ask(READ);
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -172,6 +172,37 @@
     stage.pass(BOUND);
     let (id, actions) = stage.ask(READ);
     assert_eq!((sent(&actions, id), probes(&actions, 2)), (Some(1), 1));
+    // It knows best when it has caught up: a read asks it again after a while.
+    stage.pass(100 * MS);
+    let (id, actions) = stage.ask(READ);
+    assert_eq!(sent(&actions, id), Some(2));
+}
+
+/// Where few requests reach a router, it never hears of a replica as late as a session's last write.
+#[test]
+fn a_session_read_trusts_a_member_that_checks_and_no_other() {
+    let list = [entry(1, 0, true), entry(2, 0, false)];
+    for (lag_check, to) in [(LagCheck::Member, 2), (LagCheck::Router, 1)] {
+        let mut stage = Stage::with(Settings { lag_check, ..settings() }, &list);
+        stage.pass(2_000 * MS);
+        let (id, actions) = stage.ask_with(SESSION, 2_000 * MS, |r| r.last_write_ago = Some(500 * MS));
+        assert_eq!(sent(&actions, id), Some(to), "{lag_check:?}");
+    }
+}
+
+/// Reports that come seconds late make every replica look as if it lagged.
+#[test]
+fn late_reports_leave_reads_to_replicas_that_check() {
+    let list = [entry(1, 0, true), entry(2, 0, false), entry(3, 0, false)];
+    let mut stage = Stage::with(Settings { lag_check: LagCheck::Member, ..settings() }, &list);
+    stage.pass(5_000 * MS);
+    stage.probed(2, stage.now - 3_000 * MS, false);
+    let (id, actions) = stage.ask(READ);
+    assert_eq!(sent(&actions, id), Some(3), "first one that was not told to lag");
+    let actions = stage.ended(id, 3, Outcome::Misplaced, Note::default());
+    assert_eq!(sent(&actions, id), Some(2), "then one that was");
+    let actions = stage.ended(id, 2, Outcome::Misplaced, Note::default());
+    assert_eq!(sent(&actions, id), Some(1), "the primary where both lag indeed");
 }
 
 /// With one replica fresh, reads get along; the other one of its zone would stay idle for good if nobody asked it.
--- a/tests/rules_kept.rs
+++ b/tests/rules_kept.rs
@@ -145,6 +145,57 @@
     assert!(to_cold > 0 && to_cold < fleet as i32 * 2 / 5 / 3, "{to_cold}");
 }
 
+/// A primary and nine replicas, one of which (2) has just started, all known to be fresh.
+fn with_a_cold_replica() -> Stage {
+    let mut list: Vec<Entry> = (1..=10).map(|member| entry(member, 0, member == 1)).collect();
+    list[1].started = Some(START);
+    Stage::with(settings(), &list)
+}
+
+/// Where the others can't be reached, each request would come to the cold one in the end.
+#[test]
+fn a_read_that_failed_elsewhere_does_not_fall_on_a_cold_member() {
+    let mut stage = with_a_cold_replica();
+    let mut to_cold = 0;
+    for _ in 0..200 {
+        stage.now += 5 * MS;
+        (2..=10).for_each(|member| drop(stage.probed(member, stage.now, false)));
+        let (id, mut actions) = stage.ask(ANY);
+        for attempt in 0.. {
+            let Some(member) = sent(&actions, id) else { break };
+            assert!(member != 2 || attempt == 0, "attempt {attempt} went to the cold one");
+            to_cold += usize::from(member == 2);
+            let outcome = if member == 2 { Outcome::Served } else { Outcome::Unreachable };
+            actions = stage.ended(id, member, outcome, Note::default());
+        }
+    }
+    assert!(to_cold > 0, "it still has its turns");
+}
+
+/// Requests that every member answers with an error at once cost no work, and so say nothing of what one can do.
+#[test]
+fn errors_at_warm_members_leave_a_cold_one_no_more() {
+    let to_cold = |junk: usize| {
+        let mut stage = with_a_cold_replica();
+        let mut to_cold = 0;
+        for _ in 0..300 {
+            stage.now += 5 * MS;
+            (2..=10).for_each(|member| drop(stage.probed(member, stage.now, false)));
+            for i in 0..=junk {
+                let (id, mut actions) = stage.ask(ANY);
+                while let Some(member) = sent(&actions, id) {
+                    to_cold += usize::from(member == 2);
+                    let outcome = if i == 0 { Outcome::Served } else { Outcome::Error };
+                    actions = stage.ended(id, member, outcome, Note::default());
+                }
+            }
+        }
+        to_cold
+    };
+    let (calm, junk) = (to_cold(0), to_cold(6));
+    assert!(calm > 0 && junk < 2 * calm, "{calm} without junk, {junk} with six times as much");
+}
+
 #[test]
 fn a_request_whose_group_went_quiet_meanwhile_is_answered() {
     let mut stage = Stage::new();
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -191,6 +191,7 @@
     assert!(!closes(&serve(&mut stage)));
     let (id, actions) = stage.ask(ANY);
     let member = sent(&actions, id).unwrap();
+    stage.took = 5 * MS;
     let actions = stage.ended(id, member, Outcome::Unreachable, Note::default());
     let other = sent(&actions, id).unwrap();
     assert_ne!(other, member);
@@ -199,6 +200,38 @@
     assert!(!closes(&serve(&mut stage)), "connects go through again");
 }
 
+/// Closing what is open would have each request wait for a connection that comes up too late.
+#[test]
+fn connections_that_are_slow_to_set_up_are_kept() {
+    let mut stage = Stage::new();
+    for _ in 0..5 {
+        stage.probed(2, stage.now, false);
+        stage.probed(3, stage.now, false);
+        let (id, actions) = stage.ask(ANY);
+        let member = sent(&actions, id).unwrap();
+        stage.took = 250 * MS;
+        let actions = stage.ended(id, member, Outcome::Unreachable, Note::default());
+        let other = sent(&actions, id).unwrap();
+        stage.took = 50 * MS;
+        let actions = stage.ended(id, other, Outcome::Served, Note::default());
+        assert!(!actions.iter().any(|a| matches!(a, Action::CloseIdle(_))));
+    }
+}
+
+/// What fails everywhere tells of the request: the attempts that it may still have belong to others.
+#[test]
+fn a_request_that_two_members_answer_with_an_error_is_given_up_at_once() {
+    let list: Vec<Entry> = (1..=6).map(|member| entry(member, 0, member == 1)).collect();
+    let mut stage = Stage::with(settings(), &list);
+    let (id, actions) = stage.ask(READ);
+    let first = sent(&actions, id).unwrap();
+    let actions = stage.ended(id, first, Outcome::Error, stage.note(Role::Replica));
+    let second = sent(&actions, id).unwrap();
+    assert_ne!(second, first, "one error may be its member's");
+    let actions = stage.ended(id, second, Outcome::Error, stage.note(Role::Replica));
+    assert!(refused(&actions, id) && sent(&actions, id).is_none());
+}
+
 /// A member that answers probes but refuses connects has few of them; it did not restart.
 #[test]
 fn refused_connects_do_not_make_a_member_cold() {
