Lists are read as values, and what discovery holds at its return is heeded in time

Lists may come indented: a watch was read line by line (discovery.rs, Part::Line), so a list over several lines ended it, and the whole list was fetched after each change. What discovery holds counts as told at its return: calls that hang were given up after 1 s and the pause between them grew to 1 s (LONGEST_PAUSE), so a drain could bind up to 2 s before it was read, where settings leave 0.5. What a silent watch misses counts as told 6 s after the silence began: given up after 3 s, it was followed by another watch, which may stay silent for 3 s as well.

Change: crates/driver/src/discovery becomes a folder: values (serde_json's stream; a list has to be whole as soon as a watch has to speak), answer, pace. Calls and pauses follow from the settings' time for drains (half and a quarter of it), a watch is broken after 2.5 s, and then the whole list is asked for, which comes at once or not at all.

Measured: six tests (tests/list.rs): four layouts cut at every byte; a drain told during an outage of discovery is heeded within the grace at four points of the pauses; one that a silent watch missed is heeded within 6 s although two calls stall.

--- /dev/null
+++ b/crates/driver/tests/list.rs
@@ -0,0 +1,136 @@
+//! The list of members: how it is read from a watch, and how soon what it tells is heeded when watches and calls fail.
+
+mod common;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use beaconshore_driver::discovery::pace::{Pace, SILENCE};
+use beaconshore_driver::discovery::values::Values;
+use common::discovery::entry;
+use common::{eventually, read, World};
+
+/// The settings of these tests leave so long between hearing of a drain and heeding it, and the platform some more.
+const GRACE: Duration = Duration::from_millis(550);
+/// What a silent watch misses counts as told so long after it fell silent.
+const TOLD_ANYWAY: Duration = Duration::from_secs(6);
+
+fn listing(generation: u64) -> serde_json::Value {
+    serde_json::json!({"generation": generation, "reset": false, "instances": [{"instanceId": "s-{\"1\"}", "cell": 0,
+        "hostPort": "127.0.0.1:1", "zone": "ä", "lifecycle": "draining", "startedAtMs": 0}]})
+}
+
+/// The versions that come of a body, fed in two pieces that meet at this byte.
+fn versions(body: &[u8], cut: usize) -> Vec<u64> {
+    let (mut values, mut found) = (Values::default(), Vec::new());
+    for piece in [&body[..cut], &body[cut..]] {
+        values.end().extend_from_slice(piece);
+        while let Some(listing) = values.listing().unwrap() {
+            assert_eq!(listing.instances.len(), 1);
+            found.push(listing.generation);
+        }
+    }
+    assert_eq!(values.begun(), 0, "all was taken");
+    found
+}
+
+#[test]
+fn lists_are_read_however_they_are_laid_out_and_wherever_they_are_cut() {
+    let lines = format!("{}\n\n{}\n", listing(7), listing(8));
+    let one_line = format!("{}{}\n", listing(7), listing(8));
+    let indented = format!("{:#}\n{:#}\n\n", listing(7), listing(8));
+    for body in [&lines, &one_line, &indented, &indented.replace('\n', "\r\n")] {
+        for cut in 0..=body.len() {
+            assert_eq!(versions(body.as_bytes(), cut), [7, 8], "cut at {cut}: {body:?}");
+        }
+    }
+}
+
+#[test]
+fn what_can_not_become_a_list_is_told_at_once() {
+    for body in ["hello\n", "}", "{\"a\":!!", "[1]", "7\n", "{\"generation\":\"x\""] {
+        let mut values = Values::default();
+        values.end().extend_from_slice(body.as_bytes());
+        assert!(values.listing().is_err(), "{body:?}");
+    }
+    let mut values = Values::default();
+    values.end().extend_from_slice(b"{\"generation\":7,");
+    assert!(values.listing().unwrap().is_none() && values.begun() > 0, "what may go on is waited for");
+}
+
+/// A call that came a moment too early, the pause after it and the next call fit into the time for drains; two calls of the
+/// whole list that stay silent fit into the time after which a silent watch counts as told.
+#[test]
+fn the_pace_follows_from_the_time_for_drains() {
+    for grace_ms in [200, 500, 1_000, 2_000] {
+        let grace = Duration::from_millis(grace_ms);
+        let mut pace = Pace::within(grace.as_micros() as u64);
+        let pauses: Vec<Duration> = (0..10).map(|_| pace.pause()).collect();
+        let longest = *pauses.iter().max().unwrap();
+        assert!(pauses[0] < pauses[1] && pace.call + longest < grace, "{grace:?}: {pace:?}, {longest:?}");
+        assert!(SILENCE + 2 * (pace.call + longest) + pace.call < TOLD_ANYWAY);
+        pace.answered();
+        assert_eq!(pace.pause(), pauses[0], "the pauses begin anew after a list");
+    }
+    assert_eq!(Pace::within(0).call, Pace::within(500_000).call, "where nothing is said");
+    assert!(Pace::within(60_000_000).call <= Duration::from_millis(500), "patience ends in any case");
+}
+
+#[test]
+fn an_indented_list_is_heeded_like_any_other() {
+    let world = World::start();
+    world.discovery.set(|s| s.indented = true);
+    let mut client = world.client();
+    eventually("reads go to the follower", || {
+        let before = world.follower.queries().len();
+        client.ask(&read(2000)).is_served() && world.follower.queries().len() > before
+    });
+    world.discovery.tell(entry(&world.follower, "draining"));
+    no_read_reaches_the_follower(&world, GRACE);
+    assert!(!world.driver.logged("is lost"), "the watch goes on");
+}
+
+/// While discovery is down nothing is told; what it holds at its return counts at once.
+#[test]
+fn a_drain_that_discovery_holds_at_its_return_is_heeded_in_time() {
+    // At other points of the pauses between calls.
+    for after_ms in [0, 130, 310, 470] {
+        let world = World::start();
+        world.discovery.set(|s| {
+            s.silent = true;
+            s.hushed += 1;
+        });
+        eventually("the loss is told", || world.driver.logged("is lost"));
+        thread::sleep(Duration::from_millis(2_000 + after_ms));
+        world.discovery.tell(entry(&world.follower, "draining"));
+        world.discovery.set(|s| s.silent = false);
+        no_read_reaches_the_follower(&world, GRACE);
+    }
+}
+
+/// The first calls after a silent watch may stay silent too, with the head of an answer or without one.
+#[test]
+fn a_drain_that_a_silent_watch_missed_is_heeded_before_it_counts_as_told() {
+    let world = World::start();
+    let silent = Instant::now();
+    world.discovery.set(|s| {
+        s.hushed += 1;
+        s.stalling = 2;
+    });
+    world.discovery.tell(entry(&world.follower, "draining"));
+    no_read_reaches_the_follower(&world, TOLD_ANYWAY - silent.elapsed());
+    assert_eq!(world.discovery.set(|s| s.stalling), 0, "both calls were made");
+}
+
+/// From this time on, asked for a second, the follower gets nothing.
+fn no_read_reaches_the_follower(world: &World, after: Duration) {
+    thread::sleep(after);
+    let mut client = world.client();
+    let before = world.follower.queries().len();
+    let end = Instant::now() + Duration::from_secs(1);
+    while Instant::now() < end {
+        assert!(client.ask(&read(2000)).is_served(), "the leader is there");
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(world.follower.queries().len(), before, "a read went to a member that drains");
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -82,6 +82,8 @@
     ask_within_us: u64,
     #[serde(default)]
     only_draining_binds: bool,
+    #[serde(default)]
+    drain_grace_us: u64,
     start_capacity: f64,
     warm_within_us: u64,
     tip_multiple: f64,
@@ -141,6 +143,8 @@
     pub connect_timeout: api::Micros,
     /// An idle connection is closed by its other end after this at the latest.
     pub conn_idle: api::Micros,
+    /// Within this of hearing that a member drains nothing new goes there any more; 0: not told.
+    pub drain_grace: api::Micros,
 }
 
 impl Site {
@@ -209,6 +213,7 @@
             zones: facts.zones,
             connect_timeout: facts.limits.connect_timeout_us,
             conn_idle: facts.limits.conn_idle_us,
+            drain_grace: facts.rules.drain_grace_us,
         };
         Ok(Site { settings, dialect })
     }
