--- a/src/interface.rs
+++ b/src/interface.rs
@@ -50,6 +50,13 @@
     Any,
 }
 
+impl Consistency {
+    /// Whether only a primary can serve it.
+    pub fn needs_primary(self) -> bool {
+        matches!(self, Consistency::Write | Consistency::Fresh)
+    }
+}
+
 /// Where a keyed request's repeats are dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DedupScope {
--- a/src/rules.rs
+++ b/src/policy/mod.rs
@@ -1,12 +1,16 @@
 //! Every decision of the routing service, in the order of a request's life; nothing else decides anything.
-//! The interface (settings, events, actions) is in `src/interface.rs`.
+//! Settings, events and actions are in `src/interface.rs`, the form of records in `src/records.rs`.
+
+pub mod scouting;
+pub mod telling;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::*;
 use crate::random::{share_of, Random};
-use crate::scouting::{lag_pause, Scouting, PROBE_PERIOD};
-use crate::telling::Telling;
+use crate::records::{Group, Held, Member, Open};
+use scouting::{lag_pause, Scouting, PROBE_PERIOD};
+use telling::Telling;
 
 /// Pause between rounds of due work, in steps: short against every aim, dear in no site's CPU share.
 const TICK_STEPS: u64 = 2;
@@ -20,16 +24,14 @@
 const DROP_FAILURES: u32 = 3;
 /// Overdue or unanswered attempts in a row that make a member silent; one may be its connection's fault.
 const SILENT: u32 = 2;
-/// Errors that tell of a request rather than of the members that answered with them.
-const ERRORS: u32 = 2;
+/// So many failures tell of a request rather than of members: errors, or misses at members that check.
+const BLAMED: u32 = 2;
 /// Share of a member's limit on open attempts that reads may take at a primary; the rest is for writes.
 const READ_SHARE: f64 = 0.6;
 /// Share of an aim, less three times the work, that waiting may take on average.
 const SPARE_SHARE: f64 = 0.25;
 /// A replica that turned a read away for its lag is not asked on a guess so soon again, in microseconds.
 const TURNED: Micros = 250_000;
-/// Attempts for which a read trusts members to check: then what is known has to do.
-const GUESSES: usize = 3;
 /// Share of a member's limit that client repeats may take which hardly earn anything.
 const SPENT_SHARE: f64 = 0.05;
 /// Weight of a new sample in running means: about the last ten answers count.
@@ -53,71 +55,6 @@
 /// Share of the cold budget that is used: the rest is for what cannot be seen from here.
 const COLD_MARGIN: f64 = 0.5;
 
-struct Open {
-    request: RequestId,
-    sent: Micros,
-    class: usize,
-}
-
-#[derive(Default)]
-pub(crate) struct Member {
-    id: MemberId,
-    group: GroupId,
-    zone: ZoneId,
-    gone: bool,   // Off the list.
-    barred: bool, // Drains or is gone: nothing new goes there.
-    started: Option<Micros>,
-    position: Micros, // Position that it has certainly reached, and when that was learnt.
-    heard: Micros,
-    turned: Micros, // Last time at which it turned a read away for its lag.
-    denied: Micros, // Last time at which it said that it is no primary.
-    shared: Micros, // When routers last told each other of it.
-    listed_primary: bool,
-    dark: bool,      // The last probe had no answer.
-    failures: u32,   // Consecutive failures of probes and connections; any answer clears them.
-    unanswered: u32, // Attempts without an answer in time, nor any since; only real work done clears this.
-    last_answer: Micros,
-    last_sent: Micros,
-    open: Vec<Open>,
-    limit: f64, // Open attempts it may have, under one the share of requests; as of the last answer.
-    told_at: Micros,
-    probe_sent: Micros,
-    probe_out: bool,
-    load: f64, // Work sent there, as of the last send; forgotten over the window of the cold rule.
-}
-
-/// A group, with when a request last named it and those that wait.
-#[derive(Default)]
-pub(crate) struct Group {
-    members: BTreeSet<MemberId>,
-    primary: Option<(MemberId, Micros)>, // The last known primary, and the time that the evidence speaks of.
-    asked: Micros,
-    line: Vec<RequestId>,
-}
-
-/// A request that awaits its final answer.
-#[derive(Default)]
-pub(crate) struct Held {
-    class: usize,
-    group: GroupId,
-    session: Option<SessionId>,
-    arrived: Micros,
-    ends: Micros,
-    /// Until then it waits for a lost primary; its client then has as long again to go elsewhere.
-    half: Micros,
-    /// A client's repeat of unknown age: mostly it has used up the aim and earns nothing any more.
-    spent: bool,
-    /// Drawn once: what goes by share takes or leaves a request for good, however often it is looked at.
-    lot: u64,
-    floor: Micros,       // Position that a member must have reached to serve it (sessions).
-    out: Option<Micros>, // When the attempt that is out was sent.
-    tried: Vec<MemberId>,
-    errors: u32,                      // Members that answered with an error.
-    narrow: Narrow,                   // By its route: this is heeded beside all else, never instead.
-    rests: Micros,                    // No attempt before this time.
-    risk: Option<(Micros, MemberId)>, // First send that may have run, and where.
-}
-
 /// Observed service times of a class, in microseconds.
 struct Service {
     mean: f64,
@@ -178,8 +115,6 @@
         }
     }
 
-    // ---- The list ----
-
     fn on_list(&mut self, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
             // Anywhere within a quarter of the time allowed: a whole fleet may have failed at once.
@@ -195,7 +130,8 @@
         }
         entries.iter().for_each(|entry| self.on_entry(entry));
         if kind == ListKind::Cached {
-            let mine = self.scouting.draw(self.members.keys().map(|id| (*id, 0)), &mut self.random);
+            let all = self.members.keys().map(|id| (*id, 0)).collect();
+            let mine = self.scouting.share(all, Some(1), 1, &mut self.random);
             self.probe_all(mine, out);
             out.push(Action::SetTimer(self.tick));
             out.extend((self.settings.discovery == Discovery::OnRequest).then_some(Action::Subscribe));
@@ -230,8 +166,6 @@
         group.primary = group.primary.filter(|known| !outdated(*known));
     }
 
-    // ---- Planners' words on zones ----
-
     fn on_advice(&mut self, advice: &Advice, out: &mut Vec<Action>) {
         let opens = |w: &ZoneWord| self.zones.get(&w.zone).is_none_or(|old| old.doubted && !w.doubted);
         let opened = advice.zones.iter().any(opens);
@@ -254,8 +188,7 @@
     /// Narrows where reads may go: the way back of a zone in steps, and the limit on what spills to others.
     /// Writes and fresh reads have one member only; the rules' other guards see to these.
     fn admits(&self, held: &Held, m: &Member) -> bool {
-        let bound =
-            matches!(self.settings.classes[held.class].consistency, Consistency::Write | Consistency::Fresh);
+        let bound = self.settings.classes[held.class].consistency.needs_primary();
         let allowed = bound || held.narrow.zones >> u32::from(m.zone.0).min(63) & 1 == 1;
         let Some(word) = self.zones.get(&m.zone).filter(|_| !bound) else { return allowed };
         let lot = share_of(held.lot ^ u64::from(word.zone.0) << 32);
@@ -275,8 +208,6 @@
         held.out.is_none() && open.is_empty() && !shut.is_empty()
     }
 
-    // ---- The members' records ----
-
     /// Takes what a member said of itself; `at` is the time that the evidence speaks of.
     fn learn(&mut self, id: MemberId, position: Option<Micros>, role: Option<Role>, at: Micros) {
         // What names a position ahead of the clock can't be true.
@@ -336,10 +267,7 @@
         let (was_silent, tail) = (m.is_silent(), self.services[attempt.class].tail());
         // One that others outran was lost by its connection, and says nothing of its member.
         let lost = outcome == Outcome::TimedOut && m.last_answer >= attempt.sent;
-        let bound = matches!(
-            self.settings.classes[attempt.class].consistency,
-            Consistency::Write | Consistency::Fresh
-        );
+        let bound = self.settings.classes[attempt.class].consistency.needs_primary();
         let lags = outcome == Outcome::Misplaced && !bound;
         m.turned = if lags { now } else { m.turned };
         match outcome {
@@ -355,9 +283,8 @@
         // A member that nobody heard of late is rather dead than out of connections.
         let alive = !m.dark && now < m.heard.max(m.last_answer).saturating_add(PROBE_PERIOD);
         // A full table turns away at once. What takes as long as it may is slow to set up: idle ones help.
-        let limit = self.settings.limits.connect_timeout;
-        let quick = limit == 0 || ended.took < limit / 2;
-        let refused = outcome == Outcome::Unreachable && alive && quick;
+        let slow = (1..=2 * ended.took).contains(&self.settings.limits.connect_timeout);
+        let refused = outcome == Outcome::Unreachable && alive && !slow;
         self.refused += GAIN * (f64::from(refused) - self.refused);
         self.lost += GAIN / 20.0 * (f64::from(lost) - self.lost);
         // Members that accept few connections are not to have them taken up by idle ones of a whole fleet.
@@ -422,8 +349,6 @@
         ids.filter_map(|id| self.members.get(id)).filter(move |m| m.group == group)
     }
 
-    // ---- Arrival ----
-
     fn on_request(&mut self, request: &Request, narrow: Narrow, out: &mut Vec<Action>) {
         if request.class >= self.settings.classes.len() {
             return out.push(Action::Fail(request.id));
@@ -510,13 +435,11 @@
         [1.0, class.late_worth.max(SPENT_SHARE)][usize::from(late || held.spent)]
     }
 
-    // ---- Choice of a member ----
-
     /// Where to send a request now; nowhere: it waits.
     fn choose(&self, held: &Held) -> Option<MemberId> {
         let consistency = self.settings.classes[held.class].consistency;
         let primary = self.primary(held.group).filter(|p| self.may_send(held, p));
-        if matches!(consistency, Consistency::Write | Consistency::Fresh) {
+        if consistency.needs_primary() {
             let due = |p: &Member| self.now >= p.last_sent + SEARCH_PERIOD * u64::from(self.settings.routers);
             let fit = |p: &&Member| self.has_room(held, p) || p.is_silent() && due(p);
             return primary.filter(fit).map(|p| p.id);
@@ -570,7 +493,7 @@
         // reports make all seem to lag, and few routers hear of a member as often as a session's token needs.
         // A cold one that lags would be worn out by what it turns away.
         let willing = self.now >= m.turned + TURNED && (!self.lagged(m) || self.warmth(m) >= 1.0);
-        let checks = self.checks() && m.heard > 0 && willing && held.tried.len() < GUESSES;
+        let checks = self.checks() && m.heard > 0 && willing && held.tried.len() <= BLAMED as usize;
         match self.settings.classes[held.class].consistency {
             Consistency::Bounded(bound) => {
                 let oldest = bound.min(held.narrow.staleness);
@@ -592,7 +515,7 @@
         m.heard > m.position.saturating_add(self.bound)
     }
 
-    // ---- Guards: every send and every final answer of the module passes these ----
+    // Guards: every send and every final answer of the module passes these.
 
     /// Rules 1 to 5, as far as they bind a send.
     fn may_send(&self, held: &Held, m: &Member) -> bool {
@@ -676,8 +599,6 @@
         harmless || held.risk.is_none() && held.out.is_none()
     }
 
-    // ---- Sending ----
-
     fn send(&mut self, id: RequestId, to: MemberId, out: &mut Vec<Action>) {
         let now = self.now;
         let spills = |zone| self.held.get(&id).is_some_and(|held| self.spills(held, zone));
@@ -699,8 +620,6 @@
         out.push(Action::Send { request: id, member: to, wait });
     }
 
-    // ---- Outcome ----
-
     fn on_outcome(&mut self, ended: &Ended, out: &mut Vec<Action>) {
         self.on_answer(ended, out);
         let id = ended.request;
@@ -723,8 +642,6 @@
         self.pump(group, out);
     }
 
-    // ---- Giving up ----
-
     /// Whether another attempt is not allowed, or would hardly end in time to earn anything.
     fn is_hopeless(&self, held: &Held) -> bool {
         let (class, service) = (&self.settings.classes[held.class], &self.services[held.class]);
@@ -733,7 +650,7 @@
         let useful = if class.late_worth > 0.0 { held.ends } else { held.arrived + class.aim };
         let end = end.saturating_sub(2 * self.tick).min(useful.saturating_sub(service.mean as Micros));
         let spent = held.tried.len() >= self.settings.limits.max_attempts.min(held.narrow.attempts) as usize;
-        spent || held.errors >= ERRORS || !self.may_repeat(held, None) || self.now >= end
+        spent || held.errors >= BLAMED || !self.may_repeat(held, None) || self.now >= end
     }
 
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
@@ -748,8 +665,6 @@
         self.held.remove(&id);
     }
 
-    // ---- What is due ----
-
     fn on_tick(&mut self, out: &mut Vec<Action>) {
         out.push(Action::SetTimer(self.tick));
         out.extend(self.telling.due(self.now).map(Action::Tell));
@@ -793,8 +708,7 @@
         let lag = |m: &Member| self.now.saturating_sub(m.position);
         let pause = |m: &Member| least.max(lag_pause(lag(m))).min(PROBE_PERIOD);
         let due = stale.iter().filter(|m| m.heard == 0 || fresh.is_empty() || near(m));
-        // Each of a fleet takes its part of those that may be asked: new ones, then the nearest; or by lot, so
-        // that each is heard of about as often however little a router is asked.
+        // Each of a fleet takes its part of those that may be asked: new ones, then the nearest; or by lot.
         let ripe = |m: &&&Member| !m.probe_out && self.now >= m.heard.max(m.probe_sent) + pause(m);
         let mut due: Vec<&&Member> = due.filter(ripe).collect();
         due.sort_by_key(|m| (m.heard > 0, self.lagged(m), self.tier(m.zone), m.probe_sent));
@@ -814,8 +728,8 @@
 
     /// A read in line has replicas probed again: what was asked when it came may have told nothing.
     fn probe_for_line(&mut self, id: GroupId, out: &mut Vec<Action>) {
-        let bounded =
-            |h: &Held| matches!(self.settings.classes[h.class].consistency, Consistency::Bounded(_));
+        let class = |h: &Held| self.settings.classes[h.class].consistency;
+        let bounded = |h: &Held| matches!(class(h), Consistency::Bounded(_));
         let read = |id: &&RequestId| self.held.get(id).is_some_and(bounded);
         let first = self.groups.get(&id).and_then(|g| g.line.iter().find(read)).copied();
         first.into_iter().for_each(|id| self.probe_for(id, out));
--- a/src/sizes.rs
+++ b/src/sizes.rs
@@ -1,6 +1,6 @@
 //! How much a router keeps, for logs and tests; decides nothing.
 
-use crate::rules::Router;
+use crate::policy::Router;
 
 /// Entries of a router's tables.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- /dev/null
+++ b/tests/scouting.rs
@@ -0,0 +1,62 @@
+//! How a fleet divides its probes (`docs/design/scouting.md`).
+
+use beaconshore::interface::{Limits, Micros, Settings};
+use beaconshore::policy::scouting::{lag_pause, Scouting, PROBE_PERIOD};
+use beaconshore::random::Random;
+
+fn fleet(routers: u32, peer_messages: bool) -> Scouting {
+    let limits = Limits { peer_messages, ..Limits::default() };
+    Scouting::new(&Settings { routers, limits, ..Settings::default() })
+}
+
+#[test]
+fn few_routers_or_silent_ones_find_out_all_by_themselves() {
+    let mut random = Random::new(7);
+    for scouting in [fleet(0, true), fleet(3, true), fleet(300, false), Scouting::default()] {
+        assert_eq!(scouting.share((0..100).collect(), Some(0), 1, &mut random).len(), 100);
+        assert!((0..10).all(|due| scouting.part(due) == due));
+        assert_eq!(scouting.pause(100, 1_000), 100);
+    }
+}
+
+#[test]
+fn a_fleet_of_any_size_asks_as_often_as_three_routers() {
+    for routers in [30, 300, 1_000] {
+        let mut asked = 0;
+        for seed in 0..u64::from(routers) {
+            let mut random = Random::new(seed);
+            asked += fleet(routers, true).share((0..120).collect(), Some(1), 1, &mut random).len();
+        }
+        // 360 on average; five standard deviations of chance.
+        assert!((265..455).contains(&asked), "{routers} routers asked {asked} times");
+    }
+    assert_eq!(fleet(30, true).pause(100, 10_000), 1_000);
+    assert_eq!(fleet(300, true).pause(100, 1_000), 1_000, "the longest pause bounds what silence costs");
+}
+
+#[test]
+fn each_member_is_asked_for_as_often_whatever_a_router_is_asked() {
+    const SECOND: Micros = 1_000_000;
+    for gap in [SECOND / 10, SECOND, 5 * SECOND] {
+        let mut random = Random::new(7);
+        let occasions = 300 * 100 * SECOND / gap;
+        let ask = |_| fleet(300, true).share(vec![()], Some(gap), SECOND, &mut random).len();
+        // In 100 s; five standard deviations of chance.
+        let asked: usize = (0..occasions).map(ask).sum();
+        assert!((213..=387).contains(&asked), "{asked} times with a request every {gap} us");
+    }
+    let mut random = Random::new(7);
+    assert_eq!(fleet(300, true).share(vec![1, 2], None, SECOND, &mut random), [1, 2], "a fresh router asks");
+    assert_eq!(fleet(3, true).share(vec![1, 2], Some(0), SECOND, &mut random), [1, 2], "few ask for all");
+}
+
+#[test]
+fn a_replica_is_asked_more_rarely_the_further_it_lags_but_within_the_usual_period() {
+    assert_eq!([0, 400_000, 4_000_000, 60_000_000].map(lag_pause), [0, 100_000, PROBE_PERIOD, PROBE_PERIOD]);
+}
+
+#[test]
+fn what_a_read_cannot_do_without_is_asked_by_each() {
+    assert_eq!([0, 1, 2, 4].map(|due| fleet(300, true).part(due)), [0, 1, 1, 1]);
+    assert_eq!(fleet(6, true).part(4), 2);
+}
