--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -515,9 +515,7 @@
         m.heard > m.position.saturating_add(self.bound)
     }
 
-    // Guards: every send and every final answer of the module passes these.
-
-    /// Rules 1 to 5, as far as they bind a send.
+    /// The guard that every send passes: rules 1 to 5, as far as they bind one.
     fn may_send(&self, held: &Held, m: &Member) -> bool {
         let room = self.warmth(m) >= 1.0 || self.cold_room(held, m);
         held.out.is_none() && room && self.admits(held, m) && self.may_go(held, m)
@@ -626,7 +624,8 @@
         let Some(held) = self.held.get_mut(&id) else { return };
         let (class, group) = (held.class, held.group);
         let ran = held.out.take().filter(|_| !ended.outcome.never_ran());
-        held.errors += u32::from(ended.outcome == Outcome::Error);
+        let once = held.tried.iter().filter(|m| **m == ended.member).count() == 1;
+        held.errors += u32::from(once && ended.outcome == Outcome::Error);
         held.risk = held.risk.or(ran.map(|sent| (sent, ended.member)));
         if ended.finished {
             let marks = (held.session, ended.note.position);
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -232,6 +232,19 @@
     assert!(refused(&actions, id) && sent(&actions, id).is_none());
 }
 
+/// A write has one member only: its errors tell no more of the write the more there are.
+#[test]
+fn a_write_that_its_primary_answers_with_errors_keeps_its_attempts() {
+    let mut stage = Stage::new();
+    let (id, mut actions) = stage.ask(WRITE);
+    for attempt in 1..=8 {
+        assert_eq!(sent(&actions, id), Some(1), "attempt {attempt}");
+        stage.now += 5 * MS;
+        actions = stage.ended(id, 1, Outcome::Error, stage.note(Role::Primary));
+    }
+    assert!(sent(&actions, id).is_none(), "eight are all that is allowed");
+}
+
 /// A member that answers probes but refuses connects has few of them; it did not restart.
 #[test]
 fn refused_connects_do_not_make_a_member_cold() {
