A cold member's part of a fleet follows what is served: junk no longer pushes it over

Cause: a router that sent the cold member nothing within the window may send it one by lot alone (cold_room); the lot is a share of the router's requests, and with junk there are three times as many, and turns come round three times as fast. The correction of warm members' loads, in since, minds busy routers only.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -79,7 +79,8 @@
     pub(crate) sessions: BTreeMap<SessionId, Micros>, // Commits that they must see, where it remembers.
     telling: Telling,                                 // What is to be told to other routers.
     refused: f64,                                     // Share of attempts of late that got no connection.
-    lost: f64, // Share of attempts of late that had no answer, while their members answered others.
+    lost: f64,   // Share of attempts of late that had no answer, while their members answered others.
+    useful: f64, // Share of attempts of late that were served.
     zones: BTreeMap<ZoneId, ZoneWord>, // What planners say; without a word: own zone first, all others alike.
     homes: BTreeMap<GroupId, u16>, // The tier in which a group's reads are at home, where planners say it.
     busy: BTreeSet<GroupId>, // Groups that were asked of late or have a line.
@@ -94,7 +95,8 @@
         let services = settings.classes.iter().map(|c| Service::new(c.aim as f64)).collect();
         let (tick, random) = (settings.step * TICK_STEPS, Random::new(seed));
         let (scouting, telling) = (Scouting::new(&settings), Telling::new(&settings, bound, now));
-        Router { settings, tick, bound, random, scouting, telling, now, services, ..Router::default() }
+        let parts = Router { scouting, telling, now, services, useful: 1.0, ..Router::default() };
+        Router { settings, tick, bound, random, ..parts }
     }
 
     /// Takes one event and adds what is to be done about it.
@@ -258,12 +260,7 @@
         let position =
             ended.note.position.filter(|_| outcome != Outcome::Served || !self.is_write(attempt.class));
         self.learn(id, position, ended.note.role, now);
-        let warm = self.members.get(&id).is_some_and(|m| self.warmth(m) >= 1.0);
         let Some(m) = self.members.get_mut(&id) else { return };
-        // What a warm member turned away or answered with an error is no measure of what a cold one can do.
-        if warm && (outcome.never_ran() || outcome == Outcome::Error) {
-            m.load = (m.load - self.services[attempt.class].base).max(0.0);
-        }
         let (was_silent, tail) = (m.is_silent(), self.services[attempt.class].tail());
         // One that others outran was lost by its connection, and says nothing of its member.
         let lost = outcome == Outcome::TimedOut && m.last_answer >= attempt.sent;
@@ -286,6 +283,7 @@
         let slow = (1..=2 * ended.took).contains(&self.settings.limits.connect_timeout);
         let refused = outcome == Outcome::Unreachable && alive && !slow;
         self.refused += GAIN * (f64::from(refused) - self.refused);
+        self.useful += GAIN * (f64::from(outcome == Outcome::Served) - self.useful);
         self.lost += GAIN / 20.0 * (f64::from(lost) - self.lost);
         // Members that accept few connections are not to have them taken up by idle ones of a whole fleet.
         out.extend((m.open.is_empty() && self.refused > SCARCE).then_some(Action::CloseIdle(id)));
@@ -564,16 +562,18 @@
         let up = others().filter(|o| o.failures == 0 && !o.is_silent()).count() as f64 / 2.0;
         let part = if self.is_write(held.class) { 1.0 } else { up.max(1.0) / others().count().max(1) as f64 };
         // What failed elsewhere is no reason for more here: reads come on their first attempt only.
-        if !held.tried.is_empty() && !self.is_primary(m) {
-            return false;
-        }
+        let first = held.tried.is_empty() || self.is_primary(m);
         let work = self.services[held.class].base;
         let load = |m| load_left(m, self.now, self.settings.rules.fall_window);
         let warm = others().filter(|o| self.warmth(o) >= 1.0);
         let (count, sum) = warm.fold((0.0, 0.0), |(count, sum), o| (count + 1.0, sum + load(o)));
-        let in_window = load(m) < work / 2.0 || load(m) + work <= sum / f64::max(count, 1.0) * share;
+        let in_window =
+            load(m) < work / 2.0 || load(m) + work <= sum / f64::max(count, 1.0) * share * self.useful;
         let all = f64::from(self.settings.routers) * work <= share * self.settings.rules.fall_window as f64;
-        self.is_write(held.class) && all && m.open.is_empty() || in_window && self.lot(held, m) < share * part
+        // What is not served shows nothing of what it can do, but turns go round faster: the lot minds both.
+        let turns = others().count() as f64 * (1.0 / self.useful - 1.0);
+        let lot = self.lot(held, m) * (1.0 / (share * part * self.useful) + turns) < 1.0;
+        self.is_write(held.class) && all && m.open.is_empty() || in_window && first && lot
     }
 
     /// What a request of a class takes when nothing waits, as far as its answers tell, in microseconds.
