Connection, attempt, list and shutdown are machines without I/O, stepped in every order

Cause, by reading: an ordinary close of a client's connection dropped the socket after one look (client.rs, last_look), so bytes in between turned it into a reset; with 64 open requests, a full buffer or an end decided nothing was read and a departure went unseen (attend); the listener was dropped with connections in its backlog (shutdown.rs); an attempt on an idle connection was written whatever had come since its decision (member.rs, carry); a whole list that trickled was waited for without end (answer.rs, whole), and a watch that spoke and said nothing new was believed for ever.

Change: client/connection.rs, shutdown/course.rs, member/attempt.rs with reply.rs, and discovery/follower.rs decide without I/O; the actors carry bytes. One way to close: nothing more taken, what is owed written, FIN, input discarded in bounds up to the client's own FIN. While requests are open and input is unread, a departure is looked for behind it every 25 ms. A request that its client left is marked, and the mark is looked at right before each byte; a list that came since the decision, or 5 ms, has the module asked again. The whole list is asked for every 2 s beside the watch, each call bounded from connect to last byte: a change is in force within 2 call + 2 s + f (call + pause). At the end the backlog is accepted before the listener goes, half a request is told 57P03, and a driver that stood still closes before it ends. Failed calls, connections without room or answer, and requests without an attempt are counted.

The test of a silent watch now keeps the open one silent for good: the list is back before a watch is given up.

--- a/crates/driver/src/discovery/answer.rs
+++ b/crates/driver/src/discovery/answer.rs
@@ -27,8 +27,8 @@
     buffer: Buffer,
     response: http::Response,
     values: Values,
-    /// How long each read of a body that is wanted whole may take.
-    call: Duration,
+    /// When a body that is wanted whole has to be there.
+    whole_by: Instant,
     /// When the last value was whole, or the last word came that nothing has changed.
     spoke: Instant,
 }
@@ -36,6 +36,7 @@
 impl Answer {
     /// Calls discovery; yields once the answer's head is there, within this time.
     pub async fn open(address: SocketAddr, target: &str, call: Duration) -> Result<Answer, End> {
+        let whole_by = Instant::now() + call;
         let open = async {
             let mut stream = Async::<TcpStream>::connect(address).await.map_err(End::Io)?;
             stream.write_all(http::get(target, &address.to_string()).as_bytes()).await.map_err(End::Io)?;
@@ -47,20 +48,20 @@
                         return Err(End::Status(response.status));
                     }
                     let (values, spoke) = (Values::default(), Instant::now());
-                    return Ok(Answer { stream, buffer, response, values, call, spoke });
+                    return Ok(Answer { stream, buffer, response, values, whole_by, spoke });
                 }
                 if buffer.fill(buffer.filled().len() + ROOM, &mut stream).await.map_err(End::Io)? == 0 {
                     return Err(End::Closed);
                 }
             }
         };
-        in_time(Instant::now() + call, open).await
+        in_time(whole_by, open).await
     }
 
-    /// The whole body.
+    /// The whole body, within the call's time: one that trickles is not waited for.
     pub async fn whole(mut self) -> Result<Vec<u8>, End> {
         while !self.take()? {
-            if self.read(Instant::now() + self.call).await? == 0 {
+            if self.read(self.whole_by).await? == 0 {
                 let whole = self.response.ends_with_connection();
                 return if whole { Ok(std::mem::take(self.values.end())) } else { Err(End::Closed) };
             }
--- a/crates/driver/src/discovery/mod.rs
+++ b/crates/driver/src/discovery/mod.rs
@@ -1,15 +1,20 @@
-//! Discovery: the whole list, then the watch from its version; a broken one is taken up again after a pause.
+//! Discovery: the whole list now and then, and the watch from its version; a broken one is taken up again after a pause.
 //!
-//! Owns the call to discovery. What it learns goes to the module whole; it decides nothing about members.
+//! Owns the calls to discovery. What it learns goes to the module whole; it decides nothing about members. What is called
+//! when, and which list counts, is decided by `follower`, without I/O.
 
 mod answer;
+pub mod follower;
 pub mod pace;
 pub mod values;
 
-use std::convert::Infallible;
 use std::fmt;
+use std::future::Future;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
 use async_io::Timer;
@@ -23,6 +28,7 @@
 use crate::Node;
 
 use answer::Answer;
+use follower::{Action, Follower, Verdict};
 use pace::Pace;
 
 /// Why a list or a watch ended.
@@ -93,9 +99,12 @@
 async fn whole(node: &Node, address: SocketAddr) -> Listing {
     let mut calls = Calls::new(node, address);
     loop {
-        match list(node, &calls).await {
-            Ok(listing) => return listing,
-            Err(end) => calls.failed(&end).await,
+        match list(node, address, calls.pace.call).await {
+            Ok((listing, _)) => return listing,
+            Err(end) => {
+                calls.failed(&end);
+                Timer::after(calls.pace.pause()).await;
+            }
         }
     }
 }
@@ -104,77 +113,126 @@
 async fn follow_one(
     node: &Node,
     address: SocketAddr,
-    mut version: Option<u64>,
+    version: Option<u64>,
     module: &ModuleHandle,
 ) -> (SocketAddr, Listing) {
     let mut calls = Calls::new(node, address);
+    let mut follower = Follower::new(calls.pace, version, Instant::now());
+    let (mut whole, mut watch) = (None, Watch::Closed);
     loop {
-        let end = match version {
-            None => match list(node, &calls).await {
-                Ok(listing) => {
-                    calls.answered();
-                    version = Some(listing.generation);
-                    module.list(listing).await;
-                    continue;
+        while let Some(action) = follower.next(Instant::now()) {
+            match action {
+                Action::AskWhole => whole = Some(Box::pin(list(node, address, calls.pace.call))),
+                Action::Watch(from) => {
+                    watch = Watch::Opening(Box::pin(open(node, address, from, calls.pace.call)))
                 }
-                Err(end) => end,
-            },
-            Some(from) => watch(node, from, module, &mut version, &mut calls).await,
+                Action::DropWatch => watch = Watch::Closed,
+            }
+        }
+        let listing = async {
+            match &mut whole {
+                Some(call) => Came::Whole(call.as_mut().await),
+                None => future::pending().await,
+            }
         };
-        // Garbled changes may have been missed, and one watch that fell silent may be followed by another that does: the
-        // whole list tells, and it comes at once or not at all.
-        if !matches!(end, End::Io(_) | End::Closed) {
-            version = None;
+        let due = async {
+            match follower.due() {
+                Some(at) => drop(Timer::at(at).await),
+                None => future::pending().await,
+            }
+            Came::Time
+        };
+        // Losing what waits here loses no bytes.
+        match future::or(listing, future::or(watch.news(), due)).await {
+            Came::Time => {}
+            Came::Whole(Ok((listing, digest))) => {
+                whole = None;
+                calls.answered();
+                if follower.whole_came(listing.generation, digest, Instant::now()) == Verdict::Applies {
+                    module.list(listing).await;
+                }
+            }
+            Came::Whole(Err(end)) => {
+                whole = None;
+                calls.failed(&end);
+                follower.whole_failed(Instant::now());
+            }
+            Came::Opened(answer) => watch = Watch::Open(answer),
+            Came::News(None) => calls.answered(),
+            Came::News(Some(listing)) => {
+                calls.answered();
+                follower.changed(listing.generation);
+                module.list(listing).await;
+            }
+            Came::Ended(end) => {
+                watch = Watch::Closed;
+                calls.failed(&end);
+                follower.watch_ended(Instant::now());
+            }
         }
-        calls.failed(&end).await;
     }
 }
 
-/// Fetches the whole list.
-async fn list(node: &Node, calls: &Calls) -> Result<Listing, End> {
-    let answer = Answer::open(calls.address, "/v1/endpoints", calls.pace.call).await?;
-    node.stats.count(Counter::Watches);
-    serde_json::from_slice(&answer.whole().await?).map_err(End::Json)
+/// What came of the calls that are open.
+enum Came {
+    Whole(Result<(Listing, u64), End>),
+    Opened(Box<Answer>),
+    News(Option<Listing>),
+    Ended(End),
+    Time,
 }
 
-/// Follows the changes after a version, until the watch ends.
-async fn watch(
-    node: &Node,
-    from: u64,
-    module: &ModuleHandle,
-    version: &mut Option<u64>,
-    calls: &mut Calls,
-) -> End {
-    let changes = async {
-        let target = format!("/v1/endpoints?watch=1&from={from}");
-        let mut answer = Answer::open(calls.address, &target, calls.pace.call).await?;
-        node.stats.count(Counter::Watches);
-        loop {
-            let news = answer.news().await?;
-            calls.answered();
-            let Some(listing) = news else { continue };
-            calls.pace.answered();
-            *version = Some(listing.generation);
-            module.list(listing).await;
+/// The call that watches.
+enum Watch<F> {
+    Closed,
+    Opening(Pin<Box<F>>),
+    Open(Box<Answer>),
+}
+
+impl<F: Future<Output = Result<Answer, End>>> Watch<F> {
+    async fn news(&mut self) -> Came {
+        match self {
+            Watch::Closed => future::pending().await,
+            Watch::Opening(call) => match call.as_mut().await {
+                Ok(answer) => Came::Opened(Box::new(answer)),
+                Err(end) => Came::Ended(end),
+            },
+            Watch::Open(answer) => match answer.news().await {
+                Ok(news) => Came::News(news),
+                Err(end) => Came::Ended(end),
+            },
         }
-    };
-    let ended: Result<Infallible, End> = changes.await;
-    match ended {
-        Err(end) => end,
-        Ok(never) => match never {},
     }
 }
 
-/// The calls of one address: their pauses, and whether it answers.
-struct Calls {
+/// Fetches the whole list, with a digest of its text.
+async fn list(node: &Node, address: SocketAddr, call: Duration) -> Result<(Listing, u64), End> {
+    let answer = Answer::open(address, "/v1/endpoints", call).await?;
+    node.stats.count(Counter::Watches);
+    let text = answer.whole().await?;
+    let mut digest = DefaultHasher::new();
+    text.hash(&mut digest);
+    Ok((serde_json::from_slice(&text).map_err(End::Json)?, digest.finish()))
+}
+
+/// Opens a watch of the changes after a version.
+async fn open(node: &Node, address: SocketAddr, from: u64, call: Duration) -> Result<Answer, End> {
+    let answer = Answer::open(address, &format!("/v1/endpoints?watch=1&from={from}"), call).await?;
+    node.stats.count(Counter::Watches);
+    Ok(answer)
+}
+
+/// The calls of one address: their pace, and whether it answers.
+struct Calls<'n> {
+    node: &'n Node,
     address: SocketAddr,
     pace: Pace,
     down: bool,
 }
 
-impl Calls {
-    fn new(node: &Node, address: SocketAddr) -> Self {
-        Calls { address, pace: Pace::within(node.site.dialect.drain_grace), down: false }
+impl<'n> Calls<'n> {
+    fn new(node: &'n Node, address: SocketAddr) -> Self {
+        Calls { node, address, pace: Pace::within(node.site.dialect.drain_grace), down: false }
     }
 
     /// It told something that can be read.
@@ -184,11 +242,11 @@
         }
     }
 
-    /// A call ended: pauses before the next one, longer each time.
-    async fn failed(&mut self, end: &End) {
+    /// A call ended without that.
+    fn failed(&mut self, end: &End) {
+        self.node.stats.count(Counter::CallsFailed);
         if !std::mem::replace(&mut self.down, true) {
             warn!("discovery at {} is lost: {end}", self.address);
         }
-        Timer::after(self.pace.pause()).await;
     }
 }
--- a/crates/driver/src/discovery/pace.rs
+++ b/crates/driver/src/discovery/pace.rs
@@ -3,6 +3,10 @@
 //! What discovery holds counts as told from its return on, and a silent watch as broken: a drain binds although nobody has
 //! delivered it. So from any such moment to the list, with one call that came too early and the pause after it, less has
 //! to pass than the settings leave between hearing of a drain and heeding it.
+//!
+//! Whatever became of watches and calls, a change that discovery has and that could be had is in force within
+//! `call + RESYNC + call + f x (call + longest pause)`, where f calls in a row fail: the first call is one that began just
+//! before the change. A call is bounded from its connect to the last byte of its body, and waits for no descriptor.
 
 use std::time::Duration;
 
@@ -12,6 +16,9 @@
 /// after it fell silent: that leaves time for calls of the whole list that stay silent too.
 pub const SILENCE: Duration = Duration::from_millis(2_500);
 
+/// The whole list is asked for so long after it came last, whatever a watch says meanwhile.
+pub const RESYNC: Duration = Duration::from_secs(2);
+
 /// Bounds on a call: discovery is an agent on the driver's own machine, which answers at once.
 const SHORTEST_CALL: Duration = Duration::from_millis(100);
 const LONGEST_CALL: Duration = Duration::from_millis(500);
@@ -47,6 +54,11 @@
         pause
     }
 
+    /// How long the change of a list takes at the most to be in force, with so many calls in a row that fail.
+    pub fn in_force_within(&self, failing: u32) -> Duration {
+        2 * self.call + RESYNC + failing * (self.call + self.longest)
+    }
+
     /// A list came: the next failure is the first one again.
     pub fn answered(&mut self) {
         self.next = self.longest / 4;
--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -66,6 +66,8 @@
     stats: Stats,
     pulse: Pulse,
     requests: Cell<u64>,
+    /// Lists and changes that the module took in: who acts on a decision can tell whether it is older than one.
+    lists: Cell<u64>,
 }
 
 impl Node {
@@ -113,6 +115,7 @@
         stats: Stats::default(),
         pulse: Pulse::default(),
         requests: Cell::new(0),
+        lists: Cell::new(0),
     });
     info!("{} listens at {}, {} members known", config.name, config.listen, config.known.instances.len());
 
@@ -123,12 +126,12 @@
     let (moves, addresses) = async_channel::unbounded();
     node.spawn(discovery::follow(node.clone(), config.discovery, addresses, handle.clone()));
     node.spawn(reload(config, reloads, moves, handle.clone()));
-    let clients = client::Clients::new(node.clone(), handle);
+    let (clients, emptied) = client::Clients::new(node.clone(), handle);
     node.spawn({
         let node = node.clone();
         async move { stats::report(&node).await }
     });
-    let serve = shutdown::serve(node.clone(), listener, clients, stop);
+    let serve = shutdown::serve(node.clone(), listener, clients, emptied, stop);
     async_io::block_on(node.executor.run(serve));
     info!("counts: {}", node.stats.line());
     info!("holds: {}", stats::holdings(&node));
--- a/crates/driver/src/module.rs
+++ b/crates/driver/src/module.rs
@@ -18,7 +18,7 @@
 use futures_lite::future;
 use log::{info, warn};
 
-use crate::client::{Answer, ClientMail};
+use crate::client::{Answer, ClientMail, Wanted};
 use crate::config::Config;
 use crate::listing::{Instance, Lifecycle, Listing, LEADER};
 use crate::member::{Attempt, AttemptEnd, Member, MemberMail};
@@ -50,8 +50,19 @@
     Finish,
     /// New routes take the place of those in force; none: no request is narrowed any more.
     Routes(Option<beaconshore_routes::Policy>),
-    /// Whether a send that had to wait may still go out.
-    Confirm(RequestId, MemberId, Sender<bool>),
+    /// Whether a send may still go out though something has changed or it had to wait.
+    Confirm(RequestId, MemberId, Sender<Confirmed>),
+}
+
+/// Whether a send may still go out.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Confirmed {
+    /// It may.
+    pub allowed: bool,
+    /// As of this time.
+    pub at: Micros,
+    /// As of so many lists.
+    pub lists: u64,
 }
 
 /// Who a client says to be, for routes to go by; nobody has checked it.
@@ -85,6 +96,8 @@
     pub after: Option<u64>,
     /// What a member is to be sent.
     pub statement: Rc<Statement>,
+    /// Whether its client still waits.
+    pub wanted: Wanted,
     /// Where the answer goes.
     pub client: Sender<ClientMail>,
     /// Who asks.
@@ -123,11 +136,11 @@
         let _ = self.mail.try_send(mail);
     }
 
-    /// Asks whether a send that had to wait may still go out.
-    pub async fn confirm(&self, request: RequestId, member: MemberId) -> bool {
+    /// Asks whether a send may still go out.
+    pub async fn confirm(&self, request: RequestId, member: MemberId) -> Confirmed {
         let (reply, answer) = async_channel::bounded(1);
         self.send(Mail::Confirm(request, member, reply));
-        answer.recv().await.unwrap_or(false)
+        answer.recv().await.unwrap_or_default()
     }
 
     /// Passes on what another driver, by its number, has to tell; false if there is no room.
@@ -145,6 +158,9 @@
     client: Sender<ClientMail>,
     statement: Rc<Statement>,
     ends: Micros,
+    wanted: Wanted,
+    /// Whether any attempt was made.
+    tried: bool,
     /// Where the attempt is that is out.
     out: Option<MemberId>,
 }
@@ -272,7 +288,11 @@
             Mail::Finish => self.finish(),
             Mail::Routes(policy) => self.router.reload_routes(policy, self.node.clock.now()),
             Mail::Confirm(request, member, reply) => {
-                let _ = reply.try_send(self.router.confirm(self.node.clock.now(), request, member));
+                let (at, lists) = (self.node.clock.now(), self.node.lists.get());
+                // A client that has gone may not have been heard of here yet.
+                let wanted = self.open.get(&request).is_some_and(|open| !open.wanted.is_withdrawn());
+                let allowed = wanted && self.router.confirm(at, request, member);
+                let _ = reply.try_send(Confirmed { allowed, at, lists });
             }
         }
     }
@@ -294,6 +314,7 @@
 
     fn on_list(&mut self, kind: ListKind, listing: Listing) {
         self.node.stats.count(Counter::Lists);
+        self.node.lists.set(self.node.lists.get() + 1);
         // What is gone and not known tells nothing.
         let says =
             |i: &Instance| i.lifecycle != Lifecycle::Gone || self.ids.contains_key(i.instance_id.as_str());
@@ -339,7 +360,11 @@
 
     fn on_request(&mut self, arrival: Arrival) {
         let now = self.node.clock.now();
-        let Arrival { id, class, session, ends, repeat, statement, client, login, .. } = arrival;
+        let Arrival { id, class, session, ends, repeat, statement, client, login, wanted, .. } = arrival;
+        // It left while this waited in the mailbox: the word of that is behind.
+        if wanted.is_withdrawn() {
+            return self.node.stats.count(Counter::HungUp);
+        }
         let request = Request {
             id,
             class,
@@ -352,7 +377,7 @@
                 .map(|ms| now.saturating_sub(self.node.skew.ours(ms.saturating_mul(1000)))),
         };
         let text = self.router.is_routed().then(|| statement.clone());
-        let earlier = self.open.insert(id, Open { client, statement, ends, out: None });
+        let earlier = self.open.insert(id, Open { client, statement, ends, wanted, tried: false, out: None });
         self.node.stats.check(earlier.is_none(), "a request is taken once");
         let Some(text) = text else { return self.handle_at(now, &Event::Request(request)) };
         let connection = Connection { client: login.address, user: &login.user, database: &login.database };
@@ -463,9 +488,10 @@
             return self.node.stats.check(false, "what is sent is open");
         };
         self.node.stats.check(open.out.is_none(), "a request has one attempt out");
-        open.out = Some(member);
+        (open.out, open.tried) = (Some(member), true);
         let ends = if wait == 0 { open.ends } else { open.ends.min(now + wait) };
-        let attempt = Attempt { request, statement: open.statement.clone(), ends, sent: now };
+        let (statement, wanted) = (open.statement.clone(), open.wanted.clone());
+        let attempt = Attempt { request, statement, ends, sent: now, lists: self.node.lists.get(), wanted };
         self.mail_member(member, MemberMail::Attempt(attempt));
     }
 
@@ -473,6 +499,9 @@
         // A hang-up may have crossed an answer.
         let Some(open) = self.open.remove(&request) else { return };
         let stats = &self.node.stats;
+        if !open.tried {
+            stats.count(Counter::Untried);
+        }
         stats.check(open.out.is_none(), "no attempt is out when its request is answered");
         stats.count(match answer {
             Answer::Served(_) => Counter::Served,
--- a/crates/driver/src/pg.rs
+++ b/crates/driver/src/pg.rs
@@ -46,6 +46,10 @@
     pub const DUPLICATE_OBJECT: &str = "42710";
     /// A message over its bound.
     pub const PROGRAM_LIMIT_EXCEEDED: &str = "54000";
+    /// The router takes no connections any more.
+    pub const CANNOT_CONNECT_NOW: &str = "57P03";
+    /// The client asked for the end of its statement.
+    pub const QUERY_CANCELED: &str = "57014";
     /// Whether the statement took effect is not known.
     pub const COMPLETION_UNKNOWN: &str = "40003";
 }
@@ -93,8 +97,8 @@
 pub enum Opening {
     /// A wish for encryption, to be declined with a single byte.
     Encryption,
-    /// A cancel request; its connection carries nothing else.
-    Cancel,
+    /// A cancel request with the key of the connection that it speaks of; its own carries nothing else.
+    Cancel(u64),
     /// The startup message.
     Startup,
 }
@@ -109,7 +113,10 @@
     let Some(message) = bytes.get(..length) else { return Ok(None) };
     let opening = match be_u32(message, 4) {
         Some(SSL_REQUEST | GSS_REQUEST) => Opening::Encryption,
-        Some(CANCEL_REQUEST) => Opening::Cancel,
+        Some(CANCEL_REQUEST) => {
+            let key = message.get(8..).and_then(|key| Some(u64::from_be_bytes(key.try_into().ok()?)));
+            Opening::Cancel(key.ok_or(Broken::Content)?)
+        }
         Some(version) if version & 0xffff_0000 == PROTOCOL_3 => Opening::Startup,
         _ => return Err(Broken::Version),
     };
@@ -333,7 +340,7 @@
 pub const NO_ENCRYPTION: u8 = b'N';
 
 /// A client's welcome: no password, what libraries want to know, ready.
-pub fn put_welcome(out: &mut Vec<u8>) {
+pub fn put_welcome(out: &mut Vec<u8>, key: u64) {
     put(out, b'R', |out| out.extend([0; 4]));
     for (name, value) in [
         ("server_version", "15.0"),
@@ -348,7 +355,7 @@
             put_text(out, value);
         });
     }
-    put(out, b'K', |out| out.extend([0; 8]));
+    put(out, b'K', |out| out.extend(key.to_be_bytes()));
     put_ready(out);
 }
 
--- a/crates/driver/src/stats.rs
+++ b/crates/driver/src/stats.rs
@@ -41,6 +41,14 @@
     BadRequests = "bad_requests",
     /// Clients' connections whose stream could not be followed.
     BadStreams = "bad_streams",
+    /// Connections told that there is no room for them.
+    NoRoom = "no_room",
+    /// Connections ended by the driver's end in the middle of a message, or before any.
+    CutShort = "cut_short",
+    /// Connections that ended before anything was answered on them.
+    Unanswered = "unanswered",
+    /// Requests answered without any attempt at a member.
+    Untried = "untried",
     /// Attempts decided.
     Attempts = "attempts",
     /// Attempts that a member answered with an error.
@@ -67,6 +75,8 @@
     Lists = "lists",
     /// Calls of discovery that it answered.
     Watches = "watches",
+    /// Calls of discovery that brought nothing, and watches that ended.
+    CallsFailed = "calls_failed",
     /// Datagrams sent.
     Told = "told",
     /// Datagrams taken.
@@ -96,6 +106,11 @@
         cell.set(cell.get() + 1);
     }
 
+    /// How many were counted.
+    pub fn of(&self, counter: Counter) -> u64 {
+        self.counts[counter as usize].get()
+    }
+
     /// Checks what must hold: a breach ends a debug build, and is counted and logged by a release build.
     pub fn check(&self, holds: bool, what: &str) {
         debug_assert!(holds, "broken invariant: {what}");
--- a/crates/driver/tests/parsers.rs
+++ b/crates/driver/tests/parsers.rs
@@ -66,8 +66,10 @@
     assert_eq!(opening(2 << 16), Err(Broken::Version));
     assert_eq!(pg::opening(&[0, 0, 0, 7]), Err(Broken::Length));
     assert_eq!(pg::opening(&[0xff, 0, 0, 0]), Err(Broken::Length));
-    let cancel = [&16u32.to_be_bytes()[..], &80_877_102u32.to_be_bytes(), &[0; 8]].concat();
-    assert_eq!(pg::opening(&cancel), Ok(Some((Opening::Cancel, 16))));
+    let cancel = [&16u32.to_be_bytes()[..], &80_877_102u32.to_be_bytes(), &[1, 2, 3, 4, 5, 6, 7, 8]].concat();
+    assert_eq!(pg::opening(&cancel), Ok(Some((Opening::Cancel(0x0102_0304_0506_0708), 16))));
+    let short = [&12u32.to_be_bytes()[..], &80_877_102u32.to_be_bytes(), &[0; 4]].concat();
+    assert_eq!(pg::opening(&short), Err(Broken::Content));
 }
 
 #[test]
--- a/crates/driver/tests/troubles.rs
+++ b/crates/driver/tests/troubles.rs
@@ -301,13 +301,15 @@
 #[test]
 fn a_watch_that_falls_silent_is_given_up() {
     let world = World::start();
-    world.discovery.set(|s| s.silent = true);
+    // The open watch stays silent for good: the list comes back before it is given up.
+    world.discovery.set(|s| (s.silent, s.hushed) = (true, s.hushed + 1));
     eventually("the loss is told", || world.driver.logged("is lost"));
     let mut client = world.client();
     assert!(client.ask(&read(2000)).is_served());
     world.discovery.set(|s| s.silent = false);
     eventually("the list is back", || world.driver.logged("is back"));
-    assert!(world.discovery.set(|s| s.asked.iter().filter(|a| a.contains("watch=1&from=1")).count() >= 2));
+    let watches = || world.discovery.set(|s| s.asked.iter().filter(|a| a.contains("watch=1&from=1")).count());
+    eventually("it is watched anew", || watches() >= 2);
 }
 
 /// What waited to be read while the driver stood still is as old as it may be.
