--- a/crates/driver/tests/common/discovery.rs
+++ b/crates/driver/tests/common/discovery.rs
@@ -26,6 +26,10 @@
     pub hushed: usize,
     /// So many calls get the head of an answer and nothing more.
     pub stalling: usize,
+    /// So many calls of the whole list get a head, and then a blank now and then without end.
+    pub trickling: usize,
+    /// Watches say that nothing has changed, whatever has.
+    pub lying: bool,
     /// What was asked.
     pub asked: Vec<String>,
 }
@@ -134,6 +138,18 @@
             return Ok(());
         }
         let Some((_, from)) = target.split_once("watch=1&from=") else {
+            let trickling = self.set(|s| {
+                let left = s.trickling;
+                s.trickling = left.saturating_sub(1);
+                left
+            });
+            if trickling > 0 {
+                write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+                loop {
+                    write!(stream, "1\r\n \r\n")?;
+                    thread::sleep(Duration::from_millis(20));
+                }
+            }
             let (_, list) = self.listing(0, true).unwrap();
             let text = list.to_string();
             return write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
@@ -156,7 +172,8 @@
                 return stream.write_all(b"5\r\n{\"a\":\r\n!!\r\n");
             }
             let silent = self.set(|s| s.silent);
-            if let Some((next, listing)) = self.listing(version, false).filter(|_| !silent) {
+            let lying = self.set(|s| s.lying);
+            if let Some((next, listing)) = self.listing(version, false).filter(|_| !silent && !lying) {
                 version = next;
                 // A list may come in several chunks.
                 let (text, pieces) = match self.set(|s| s.indented) {
--- a/crates/driver/tests/common/member.rs
+++ b/crates/driver/tests/common/member.rs
@@ -121,6 +121,8 @@
     pub pause: Duration,
     /// How long each welcome takes.
     pub welcome_pause: Duration,
+    /// Welcomes are held back for as long as this is set.
+    pub holds_welcomes: bool,
     /// Requests that came whole.
     pub queries: Vec<String>,
     pub probes: usize,
@@ -149,6 +151,7 @@
             lies: Vec::new(),
             pause: Duration::ZERO,
             welcome_pause: Duration::ZERO,
+            holds_welcomes: false,
             queries: Vec::new(),
             probes: 0,
             connections: 0,
@@ -195,6 +198,9 @@
         bytes.drain(..length);
         let (behaviour, pause) = self.set(|s| (s.behaviour, s.welcome_pause));
         thread::sleep(pause);
+        while self.set(|s| s.holds_welcomes) {
+            thread::sleep(Duration::from_millis(1));
+        }
         match behaviour {
             Behaviour::Unwelcoming => while more(&mut stream, &mut bytes)? {},
             Behaviour::Reject(code) => put_error(&mut out, "FATAL", code),
--- a/crates/driver/tests/list.rs
+++ b/crates/driver/tests/list.rs
@@ -122,6 +122,55 @@
     assert_eq!(world.discovery.set(|s| s.stalling), 0, "both calls were made");
 }
 
+/// A body that goes on without end is not waited for.
+#[test]
+fn a_drain_is_heeded_though_the_whole_list_trickles() {
+    let world = World::start();
+    let silent = Instant::now();
+    world.discovery.set(|s| (s.hushed, s.trickling) = (s.hushed + 1, 2));
+    world.discovery.tell(entry(&world.follower, "draining"));
+    no_read_reaches_the_follower(&world, TOLD_ANYWAY - silent.elapsed());
+    assert_eq!(world.discovery.set(|s| s.trickling), 0, "both calls were made");
+}
+
+/// A watch that goes on speaking, and never tells a change.
+#[test]
+fn a_drain_is_heeded_though_the_watch_says_that_nothing_has_changed() {
+    let world = World::start();
+    world.discovery.set(|s| s.lying = true);
+    let told = Instant::now();
+    world.discovery.tell(entry(&world.follower, "draining"));
+    no_read_reaches_the_follower(&world, TOLD_ANYWAY - told.elapsed());
+}
+
+/// Calls of discovery wait for no descriptor: those that others may take leave some for them.
+#[test]
+fn idle_clients_that_fill_the_descriptors_hold_up_no_list() {
+    let world = World::with(|config| config["limits"]["sockets"] = 60.into());
+    world.discovery.set(|s| (s.silent, s.hushed) = (true, s.hushed + 1));
+    eventually("the loss is told", || world.driver.logged("is lost"));
+    let mut idle: Vec<_> = (0..40).map(|_| common::Client::raw(world.driver.address)).collect();
+    idle.iter_mut().for_each(|client| client.send(&common::client::startup()));
+    thread::sleep(Duration::from_millis(2_000));
+    world.discovery.tell(entry(&world.follower, "draining"));
+    world.discovery.set(|s| s.silent = false);
+    no_read_reaches_the_follower(&world, GRACE);
+    assert!(world.driver.descriptors() <= 60);
+    drop(idle);
+}
+
+/// The address of discovery moves while the new one answers nothing but errors at first.
+#[test]
+fn a_drain_at_the_new_address_is_heeded_in_time() {
+    let world = World::start();
+    let next = common::Discovery::start(&[world.leader.clone(), world.follower.clone()]);
+    next.tell(entry(&world.follower, "draining"));
+    next.set(|s| (s.stalling, s.failing) = (1, 2));
+    world.discovery.set(|s| s.silent = true);
+    world.driver.reload(&world.driver.moved_to(&next).to_string());
+    no_read_reaches_the_follower(&world, Duration::from_secs(4));
+}
+
 /// From this time on, asked for a second, the follower gets nothing.
 fn no_read_reaches_the_follower(world: &World, after: Duration) {
     thread::sleep(after);
