--- a/tests/rules_kept.rs
+++ b/tests/rules_kept.rs
@@ -353,6 +353,21 @@
     assert!(!stage.router.confirm(stage.now, id, MemberId(1)));
 }
 
+/// Decided inside the window, it waits for a connection until that is over: at the instant of the write it is asked again.
+#[test]
+fn a_repeat_that_waited_is_withdrawn_once_the_keys_window_is_over() {
+    let mut stage = Stage::new();
+    let (id, actions) = stage.ask_with(WRITE, 8_000 * MS, |_| {});
+    assert_eq!(sent(&actions, id), Some(1));
+    stage.now += WINDOW - 100 * MS;
+    let actions = stage.ended(id, 1, Outcome::Reset, Note::default());
+    assert_eq!(sent(&actions, id), Some(1), "a repeat inside the window");
+    stage.now += 99 * MS;
+    assert!(stage.router.confirm(stage.now, id, MemberId(1)));
+    stage.now += 2 * MS;
+    assert!(!stage.router.confirm(stage.now, id, MemberId(1)), "counted from the first send that may have run");
+}
+
 #[test]
 fn what_could_not_be_sent_by_half_its_time_is_refused_while_its_client_can_still_go_elsewhere() {
     let mut stage = Stage::with(settings(), &[entry(2, 0, false), entry(3, 1, false)]);
