--- a/tests/rules_kept.rs
+++ b/tests/rules_kept.rs
@@ -365,7 +365,10 @@
     stage.now += 99 * MS;
     assert!(stage.router.confirm(stage.now, id, MemberId(1)));
     stage.now += 2 * MS;
-    assert!(!stage.router.confirm(stage.now, id, MemberId(1)), "counted from the first send that may have run");
+    assert!(
+        !stage.router.confirm(stage.now, id, MemberId(1)),
+        "counted from the first send that may have run"
+    );
 }
 
 #[test]
