--- a/crates/driver/src/module.rs
+++ b/crates/driver/src/module/mod.rs
@@ -1,24 +1,26 @@
 //! The module's actor: it owns the decision module with its planners and the table of open requests. Here alone messages become
-//! events and actions become messages.
+//! events and actions become messages. What is open is kept by `requests`, without I/O.
+
+pub mod mail;
+pub mod requests;
 
 use std::collections::hash_map::Entry::Occupied;
 use std::collections::{BTreeMap, HashMap};
-use std::net::{IpAddr, SocketAddr};
-use std::ops::Range;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use beaconshore::interface::{
-    Action, Ended, Entry, Event, GroupId, ListKind, Listed, MemberId, Micros, Outcome, Report, Request,
-    RequestId, Role, SessionId, Talk, Word, ZoneId,
+    Action, Ended, Entry, Event, GroupId, ListKind, Listed, MemberId, Micros, Outcome, Request, RequestId,
+    Role, Talk, Word, ZoneId,
 };
 use beaconshore_steering::{Connection, Steering};
 use futures_lite::future;
 use log::{info, warn};
 
-use crate::client::{Answer, ClientMail, Wanted};
+use crate::client::{Answer, ClientMail};
 use crate::config::Config;
 use crate::listing::{Instance, Lifecycle, Listing, LEADER};
 use crate::member::{Attempt, AttemptEnd, Member, MemberMail};
@@ -27,144 +29,15 @@
 use crate::stats::Counter;
 use crate::Node;
 
+pub use mail::{Arrival, Confirmed, Login, Mail, ModuleHandle, Statement};
+use requests::{Arrived, Open, Requests, Sending};
+
 /// Lists that may wait; discovery waits with more, the module never waits for discovery.
 const LISTS: usize = 4;
 /// Datagrams that may wait; further ones are dropped, as datagrams may be.
 const DATAGRAMS: usize = 64;
 /// Overdue requests are looked for this often.
 const SWEEP: Micros = 100_000;
-/// An answer owed for this long after its time is overdue.
-const OVERDUE: Micros = 20_000;
-
-/// What reaches the module.
-pub enum Mail {
-    /// A request.
-    Request(Box<Arrival>),
-    /// The client of a request is gone.
-    HungUp(RequestId),
-    /// The end of an attempt.
-    AttemptEnded(Box<AttemptEnd>),
-    /// The end of a probe.
-    ProbeEnded(MemberId, Outcome, Report),
-    /// The driver ends: all that is open is answered now.
-    Finish,
-    /// New routes take the place of those in force; none: no request is narrowed any more.
-    Routes(Option<beaconshore_routes::Policy>),
-    /// Whether a send may still go out though something has changed or it had to wait.
-    Confirm(RequestId, MemberId, Sender<Confirmed>),
-}
-
-/// Whether a send may still go out.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Confirmed {
-    /// It may.
-    pub allowed: bool,
-    /// As of this time.
-    pub at: Micros,
-    /// As of so many lists.
-    pub lists: u64,
-}
-
-/// Who a client says to be, for routes to go by; nobody has checked it.
-#[derive(Debug, Default)]
-pub struct Login {
-    /// Its address.
-    pub address: Option<IpAddr>,
-    /// Its user.
-    pub user: Box<str>,
-    /// Its database.
-    pub database: Box<str>,
-}
-
-/// A request as its client's actor read it.
-pub struct Arrival {
-    /// Its id here.
-    pub id: RequestId,
-    /// What its client calls it.
-    pub name: Rc<[u8]>,
-    /// Index of its class.
-    pub class: usize,
-    /// The group it names.
-    pub group: u32,
-    /// Its session, if its class has any.
-    pub session: Option<SessionId>,
-    /// When its client gives up.
-    pub ends: Micros,
-    /// Whether the client asked before.
-    pub repeat: bool,
-    /// Position that it must see, in milliseconds.
-    pub after: Option<u64>,
-    /// What a member is to be sent.
-    pub statement: Rc<Statement>,
-    /// Whether its client still waits.
-    pub wanted: Wanted,
-    /// Where the answer goes.
-    pub client: Sender<ClientMail>,
-    /// Who asks.
-    pub login: Rc<Login>,
-}
-
-/// A client's statement, which goes on unchanged but for the time that it may take.
-pub struct Statement {
-    /// The whole text.
-    pub text: Box<[u8]>,
-    /// Where it holds that time.
-    pub wait_at: Range<usize>,
-}
-
-impl Statement {
-    /// The query to send with so many milliseconds left.
-    pub fn query(&self, wait_ms: u64) -> Vec<u8> {
-        let mut query = Vec::with_capacity(self.text.len() + 32);
-        let (before, after) = (&self.text[..self.wait_at.start], &self.text[self.wait_at.end..]);
-        pg::put_query(&mut query, &[before, wait_ms.to_string().as_bytes(), after]);
-        query
-    }
-}
-
-/// The way to the module's mailboxes.
-#[derive(Clone)]
-pub struct ModuleHandle {
-    mail: Sender<Mail>,
-    lists: Sender<Listing>,
-    words: Sender<(u32, PeerMail)>,
-}
-
-impl ModuleHandle {
-    /// Sends what belongs to an open request, an attempt or a probe: these bound the mailbox.
-    pub fn send(&self, mail: Mail) {
-        let _ = self.mail.try_send(mail);
-    }
-
-    /// Asks whether a send may still go out.
-    pub async fn confirm(&self, request: RequestId, member: MemberId) -> Confirmed {
-        let (reply, answer) = async_channel::bounded(1);
-        self.send(Mail::Confirm(request, member, reply));
-        answer.recv().await.unwrap_or_default()
-    }
-
-    /// Passes on what another driver, by its number, has to tell; false if there is no room.
-    pub fn tell(&self, from: u32, mail: PeerMail) -> bool {
-        self.words.try_send((from, mail)).is_ok()
-    }
-
-    /// Sends the list, which is handled before all other mail.
-    pub async fn list(&self, listing: Listing) {
-        let _ = self.lists.send(listing).await;
-    }
-}
-
-struct Open {
-    client: Sender<ClientMail>,
-    statement: Rc<Statement>,
-    ends: Micros,
-    wanted: Wanted,
-    /// Whether any attempt was made.
-    tried: bool,
-    /// Where the attempt is that is out.
-    out: Option<MemberId>,
-}
-
 struct Known {
     /// What the list calls it.
     name: Rc<str>,
@@ -184,7 +57,7 @@
     words: Receiver<(u32, PeerMail)>,
     handle: ModuleHandle,
     peers: Option<Sender<Letter>>,
-    open: HashMap<RequestId, Open>,
+    open: Requests<Sender<ClientMail>>,
     /// Members by their ids here, until the decision module forgets them.
     members: HashMap<MemberId, Known>,
     ids: HashMap<Rc<str>, MemberId>,
@@ -290,8 +163,7 @@
             Mail::Confirm(request, member, reply) => {
                 let (at, lists) = (self.node.clock.now(), self.node.lists.get());
                 // A client that has gone may not have been heard of here yet.
-                let wanted = self.open.get(&request).is_some_and(|open| !open.wanted.is_withdrawn());
-                let allowed = wanted && self.router.confirm(at, request, member);
+                let allowed = self.open.is_wanted(request) && self.router.confirm(at, request, member);
                 let _ = reply.try_send(Confirmed { allowed, at, lists });
             }
         }
@@ -361,9 +233,11 @@
     fn on_request(&mut self, arrival: Arrival) {
         let now = self.node.clock.now();
         let Arrival { id, class, session, ends, repeat, statement, client, login, wanted, .. } = arrival;
-        // It left while this waited in the mailbox: the word of that is behind.
-        if wanted.is_withdrawn() {
-            return self.node.stats.count(Counter::HungUp);
+        let text = self.router.is_routed().then(|| statement.clone());
+        match self.open.arrive(id, client, statement, ends, wanted) {
+            Arrived::Taken => {}
+            Arrived::Left => return self.node.stats.count(Counter::HungUp),
+            Arrived::Twice => self.node.stats.check(false, "a request is taken once"),
         }
         let request = Request {
             id,
@@ -376,9 +250,6 @@
                 .after
                 .map(|ms| now.saturating_sub(self.node.skew.ours(ms.saturating_mul(1000)))),
         };
-        let text = self.router.is_routed().then(|| statement.clone());
-        let earlier = self.open.insert(id, Open { client, statement, ends, wanted, tried: false, out: None });
-        self.node.stats.check(earlier.is_none(), "a request is taken once");
         let Some(text) = text else { return self.handle_at(now, &Event::Request(request)) };
         let connection = Connection { client: login.address, user: &login.user, database: &login.database };
         let mut actions = Vec::new();
@@ -388,9 +259,9 @@
 
     fn on_hang_up(&mut self, id: RequestId) {
         // Its answer may have been on the way.
-        let Some(open) = self.open.remove(&id) else { return };
+        let Some(out) = self.open.leave(id) else { return };
         self.node.stats.count(Counter::HungUp);
-        if let Some(member) = open.out {
+        if let Some(member) = out {
             self.mail_member(member, MemberMail::Cancel(id));
         }
         self.handle(&Event::HungUp(id));
@@ -398,20 +269,20 @@
 
     /// Fails what is open: nothing is promised of it.
     fn finish(&mut self) {
-        for (id, open) in std::mem::take(&mut self.open) {
+        for (id, open) in self.open.finish() {
             open.out.into_iter().for_each(|member| self.mail_member(member, MemberMail::Cancel(id)));
             self.handle(&Event::HungUp(id));
             self.node.stats.count(Counter::Failed);
+            if !open.tried {
+                self.node.stats.count(Counter::Untried);
+            }
             let _ = open.client.try_send(ClientMail::Answer(id, Answer::Failed));
         }
     }
 
     fn on_end(&mut self, end: AttemptEnd) {
         let AttemptEnd { request, member, outcome, served, told, took } = end;
-        if let Some(open) = self.open.get_mut(&request) {
-            let was_out = open.out.take();
-            self.node.stats.check(was_out == Some(member), "an attempt that ends was out");
-        }
+        self.node.stats.check(self.open.ended(request, member), "an attempt that ends was out");
         let counter = match outcome {
             Outcome::Error => Some(Counter::Errors),
             Outcome::Full => Some(Counter::TurnedAway),
@@ -427,7 +298,7 @@
         if outcome == Outcome::Served {
             self.answer(request, Answer::Served(served));
         }
-        let finished = !self.open.contains_key(&request);
+        let finished = !self.open.is_open(request);
         let (mut note, mut report) = (told.note, told.report);
         if let Some(at) = note.position.filter(|_| note.role == Some(Role::Primary)) {
             self.compare_clocks(at);
@@ -484,31 +355,29 @@
     }
 
     fn send(&mut self, now: Micros, request: RequestId, member: MemberId, wait: Micros) {
-        let Some(open) = self.open.get_mut(&request) else {
+        let Some(sending) = self.open.send(request, member, wait, now) else {
             return self.node.stats.check(false, "what is sent is open");
         };
-        self.node.stats.check(open.out.is_none(), "a request has one attempt out");
-        (open.out, open.tried) = (Some(member), true);
-        let ends = if wait == 0 { open.ends } else { open.ends.min(now + wait) };
-        let (statement, wanted) = (open.statement.clone(), open.wanted.clone());
+        self.node.stats.check(sending.alone, "a request has one attempt out");
+        let Sending { statement, ends, wanted, .. } = sending;
         let attempt = Attempt { request, statement, ends, sent: now, lists: self.node.lists.get(), wanted };
         self.mail_member(member, MemberMail::Attempt(attempt));
     }
 
     fn answer(&mut self, request: RequestId, answer: Answer) {
         // A hang-up may have crossed an answer.
-        let Some(open) = self.open.remove(&request) else { return };
+        let Some(Open { client, tried, out, .. }) = self.open.answer(request) else { return };
         let stats = &self.node.stats;
-        if !open.tried {
+        if !tried {
             stats.count(Counter::Untried);
         }
-        stats.check(open.out.is_none(), "no attempt is out when its request is answered");
+        stats.check(out.is_none(), "no attempt is out when its request is answered");
         stats.count(match answer {
             Answer::Served(_) => Counter::Served,
             Answer::Refused(_) => Counter::Refused,
             Answer::Failed => Counter::Failed,
         });
-        let _ = open.client.try_send(ClientMail::Answer(request, answer));
+        let _ = client.try_send(ClientMail::Answer(request, answer));
     }
 
     fn mail_member(&mut self, member: MemberId, mail: MemberMail) {
@@ -565,8 +434,7 @@
         self.swept = now;
         self.node.stats.note(self.router.sizes());
         self.node.stats.note_zones(self.router.zones(now));
-        let late = self.open.iter().filter(|(_, open)| open.out.is_none() && now > open.ends + OVERDUE);
-        for id in late.map(|(id, _)| *id).collect::<Vec<_>>() {
+        for id in self.open.overdue(now) {
             warn!("request {} was not decided in time", id.0);
             self.node.stats.check(false, "every request is answered in time");
             self.handle_at(now, &Event::HungUp(id));
--- a/crates/driver/tests/settings_apart.rs
+++ b/crates/driver/tests/settings_apart.rs
@@ -15,7 +15,7 @@
     let address = config["listen"].as_str().unwrap().parse().unwrap();
     let (text, (sender, stopped)) = (config.to_string(), async_channel::bounded::<()>(1));
     let thread = thread::spawn(move || {
-        let stop = async move { drop(stopped.recv().await) };
+        let stop = async move { while stopped.recv().await.is_ok() {} };
         run(Config::parse(text.as_bytes()).unwrap(), stop, stream::pending()).unwrap();
     });
     (address, sender, thread)
