--- a/crates/driver/tests/crossings.rs
+++ b/crates/driver/tests/crossings.rs
@@ -301,3 +301,21 @@
     assert!(world.driver.ended().success());
     eventually("they are counted", || world.driver.counts().contains("no_room="));
 }
+
+/// Byte by byte, while others ask as usual.
+#[test]
+fn a_request_that_comes_a_byte_at_a_time_is_served_and_holds_up_nobody() {
+    let world = World::start();
+    let (mut slow, mut other) = (Client::raw(world.driver.address), world.client());
+    let text = [startup(), query(&read(2_000))].concat();
+    for (at, byte) in text.iter().enumerate() {
+        slow.send(&[*byte]);
+        if at % 20 == 0 {
+            let asked = Instant::now();
+            assert!(other.ask(&read(2_000)).is_served());
+            assert!(asked.elapsed() < Duration::from_secs(1), "{:?}", asked.elapsed());
+        }
+    }
+    assert!(slow.answer().expect("a welcome").kinds.ends_with('Z'));
+    assert!(slow.answer().expect("an answer").is_served());
+}
--- a/crates/driver/tests/explore_attempt.rs
+++ b/crates/driver/tests/explore_attempt.rs
@@ -141,3 +141,46 @@
     assert_eq!(reply.take(&mut buffer), Some(End::Ready));
     assert_eq!((reply.outcome, buffer.filled().len()), (Outcome::Served, answer.len() - whole));
 }
+
+/// A reader that has nothing at first, then a part, then nothing again.
+struct Halting<'b> {
+    parts: Vec<Option<&'b [u8]>>,
+}
+
+impl futures_lite::AsyncRead for Halting<'_> {
+    fn poll_read(
+        mut self: std::pin::Pin<&mut Self>,
+        _: &mut std::task::Context,
+        into: &mut [u8],
+    ) -> std::task::Poll<std::io::Result<usize>> {
+        match self.parts.pop() {
+            Some(Some(part)) => {
+                into[..part.len()].copy_from_slice(part);
+                std::task::Poll::Ready(Ok(part.len()))
+            }
+            _ => std::task::Poll::Pending,
+        }
+    }
+}
+
+/// What waits beside a read may win at any time: the read is dropped then, and has taken nothing with it.
+#[test]
+fn a_read_that_is_dropped_while_it_waits_loses_no_byte() {
+    let mut answer = Vec::new();
+    put_row(&mut answer, b"a value");
+    put(&mut answer, b'Z', b"I");
+    for cut in 1..answer.len() {
+        let (first, second) = answer.split_at(cut);
+        let mut reader = Halting { parts: vec![Some(second), None, None, Some(first), None] };
+        let (mut buffer, mut reply) = (Buffer::default(), Reply::awaited());
+        let mut dropped = 0;
+        while reply.take(&mut buffer).is_none() {
+            let length = beaconshore_driver::pg::length(buffer.filled());
+            match block_on(futures_lite::future::poll_once(buffer.fill(length, &mut reader))) {
+                Some(count) => assert!(count.unwrap() > 0),
+                None => dropped += 1,
+            }
+        }
+        assert_eq!((reply.outcome, dropped), (Outcome::Served, 3), "cut at {cut}");
+    }
+}
