--- a/crates/driver/tests/explore_life.rs
+++ b/crates/driver/tests/explore_life.rs
@@ -351,8 +351,7 @@
             }
         }
         for id in self.attempts.keys().copied().collect::<Vec<_>>() {
-            loop {
-                let Some(attempt) = self.attempts.get_mut(&id) else { break };
+            while let Some(attempt) = self.attempts.get_mut(&id) {
                 if attempt.state == State::Written && self.now >= attempt.ends {
                     let member = self.attempts.remove(&id).unwrap().member;
                     self.mail.push_back(Mail::Ended(id, member, Outcome::TimedOut, false));
--- a/tests/cold_sum.rs
+++ b/tests/cold_sum.rs
@@ -53,6 +53,9 @@
     Day::HeavyTail,
 ];
 
+/// An attempt that is out: its router, request and member, how it ends, and how long it takes.
+type UnderWay = (usize, RequestId, u32, Outcome, Micros);
+
 /// What came of a day.
 struct Found {
     /// The most that was sent to the cold member within the rule's window, as a share of what makes it fall; nothing of
@@ -82,7 +85,7 @@
     let junk = matches!(day, Day::Junk | Day::JunkAtOnce);
     let load = if day == Day::Burst { 1.05 } else { 0.7 } * if junk { 3.0 } else { 1.0 };
     let in_step = load * WARM * f64::from(MEMBERS - 1) * STEP as f64 / 1e6;
-    let mut under_way: BTreeMap<(Micros, u64), (usize, RequestId, u32, Outcome, Micros)> = BTreeMap::new();
+    let mut under_way: BTreeMap<(Micros, u64), UnderWay> = BTreeMap::new();
     // What the cold one got of late: when, how much work, and whether from a router that was told.
     let (mut at_cold, mut worst, mut sent) = (Vec::<(Micros, f64, bool)>::new(), 0.0_f64, 0);
     let mut last_second = (0.0, 0.0);
@@ -128,7 +131,7 @@
                     _ => Outcome::Served,
                 };
                 // By the request and its router, so that all its attempts take alike.
-                let heavy = day == Day::HeavyTail && (request.0 * 31 + router as u64 * 17) % 50 == 0;
+                let heavy = day == Day::HeavyTail && (request.0 * 31 + router as u64 * 17).is_multiple_of(50);
                 let work = match day {
                     Day::HeavyTail => [0.7 / 0.98, 15.0][usize::from(heavy)],
                     _ => 1.0,
