--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -553,8 +553,8 @@
         rules.cold_share + (1.0 - rules.cold_share) * grown
     }
 
-    /// Rule 4: in the window a cold member gets a part of what this router sends a warm one, which it knows where
-    /// it sends enough; else by lot that part of one member's worth of its requests, one at a time. So any fleet
+    /// Rule 4: in the window a cold member gets a part of what this router sends a warm one, known where
+    /// it sends enough; else by lot that part of one member's worth of its requests, one at a time: any fleet
     /// keeps the budget, and no burst spends it. Where one write of each router is little, each sends one.
     fn cold_room(&self, held: &Held, m: &Member) -> bool {
         let share = self.warmth(m) * self.settings.rules.fall_multiple * COLD_MARGIN * self.useful;
