--- a/crates/driver/tests/common/discovery.rs
+++ b/crates/driver/tests/common/discovery.rs
@@ -71,6 +71,16 @@
         change(&mut self.state.lock().unwrap())
     }
 
+    /// Counts down one of the times that something is to go wrong; whether this is one.
+    fn take_one(&self, times: impl FnOnce(&mut State) -> &mut usize) -> bool {
+        self.set(|s| {
+            let left = times(s);
+            let goes_wrong = *left > 0;
+            *left = left.saturating_sub(1);
+            goes_wrong
+        })
+    }
+
     /// Tells a member's new state.
     pub fn tell(&self, entry: Value) {
         self.set(|s| {
@@ -119,31 +129,16 @@
             while stream.read(&mut [0; 64])? > 0 {}
             return Ok(());
         }
-        let failing = self.set(|s| {
-            let left = s.failing;
-            s.failing = left.saturating_sub(1);
-            left
-        });
-        if failing > 0 {
+        if self.take_one(|s| &mut s.failing) {
             return write!(stream, "HTTP/1.1 503 Not Now\r\nContent-Length: 0\r\n\r\n");
         }
-        let stalling = self.set(|s| {
-            let left = s.stalling;
-            s.stalling = left.saturating_sub(1);
-            left
-        });
-        if stalling > 0 {
+        if self.take_one(|s| &mut s.stalling) {
             write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
             while stream.read(&mut [0; 64])? > 0 {}
             return Ok(());
         }
         let Some((_, from)) = target.split_once("watch=1&from=") else {
-            let trickling = self.set(|s| {
-                let left = s.trickling;
-                s.trickling = left.saturating_sub(1);
-                left
-            });
-            if trickling > 0 {
+            if self.take_one(|s| &mut s.trickling) {
                 write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
                 loop {
                     write!(stream, "1\r\n \r\n")?;
@@ -163,12 +158,7 @@
                 while stream.read(&mut [0; 64])? > 0 {}
                 return Ok(());
             }
-            let garble = self.set(|s| {
-                let left = s.garble;
-                s.garble = left.saturating_sub(1);
-                left
-            });
-            if garble > 0 {
+            if self.take_one(|s| &mut s.garble) {
                 return stream.write_all(b"5\r\n{\"a\":\r\n!!\r\n");
             }
             let silent = self.set(|s| s.silent);
--- a/crates/driver/tests/explore_connection.rs
+++ b/crates/driver/tests/explore_connection.rs
@@ -44,7 +44,7 @@
     written: Vec<u8>,
     shut: bool,
     closed: bool,
-    /// Requests whose last byte had arrived when sending was shut, and were never looked at.
+    /// Its client's departure was noticed.
     departed: bool,
 }
 
