Audit: a router that just woke up answers within the machine's slack, no longer in the same instant

Lines at fault: asking.rs over(), which excused a router only while it stood still, and audit.rs answered(). Change: on the machine's clock such a request is owed by the end of the standstill plus the slack that processes have (150 ms), and is audited then. That is stricter than what was allowed to one that still stands: an answer at any time. In virtual time nothing changes. Test: found after 200 ms, not found after 100 ms (tests/live.rs); the old code finds both.

--- a/crates/emulator/src/asking.rs
+++ b/crates/emulator/src/asking.rs
@@ -89,6 +89,13 @@
         if process.alive && process.epoch == epoch {
             let story = process.open.get(&request).map(|open| open.story);
             let now = self.queue.now();
+            let awake_by = process.still_until.saturating_add(self.audit.slack());
+            let wakes = self.outside.is_some() && (process.still_until..awake_by).contains(&now);
+            if wakes && story.is_some() {
+                // A process that has just woken up answers on the machine's clock: it has to do so within the slack.
+                self.audit.extended(request, awake_by);
+                return self.queue.at(awake_by, Ev::Over(request, (router, epoch)));
+            }
             if process.still_until > now {
                 self.audit.excused(request);
             } else {
--- a/crates/emulator/src/audit.rs
+++ b/crates/emulator/src/audit.rs
@@ -98,6 +98,11 @@
         Audit { slack, late, taken, barred, denied, came, breaches }
     }
 
+    /// What is allowed on top of the rules' times, for what can't be told apart on a machine's clock.
+    pub fn slack(&self) -> Micros {
+        self.slack
+    }
+
     /// What was found.
     pub fn breaches(self) -> Vec<Breach> {
         self.breaches
@@ -271,6 +276,13 @@
         }
     }
 
+    /// Its router has just gone on after it stood still: an answer is owed by then.
+    pub fn extended(&mut self, request: RequestId, until: Micros) {
+        if let Some(taken) = self.taken.get_mut(&request) {
+            taken.ends = until.saturating_sub(self.late);
+        }
+    }
+
     /// A request's time is over: its router, which lives, owed an answer.
     pub fn over(&mut self, request: RequestId, now: Micros) {
         if self.taken.remove(&request).is_some() {
--- a/crates/emulator/tests/live.rs
+++ b/crates/emulator/tests/live.rs
@@ -223,3 +223,33 @@
     let fell = script.live.finish().breaches.iter().any(|b| b.rule == Rule::Cold);
     assert!(fell);
 }
+
+/// Broken rules of requests that came during a standstill of 2 s and were due right after it, answered so long after it.
+fn found_after_a_standstill(answered_after: Micros) -> Vec<Rule> {
+    let plan = plan("fault { at_s: 3 for_s: 2 standstill {} }");
+    let mut script = Script::new(&plan);
+    let mut due = Vec::new();
+    while script.now < DAWN + 5_000 * MS + answered_after {
+        for order in script.pass(MS) {
+            let Order::Ask(ask) = order else { continue };
+            // A deadline of 1 s and half a second of grace end up to 100 ms after the standstill.
+            let since = script.now - DAWN;
+            match ask.class == 0 && (3_501 * MS..3_600 * MS).contains(&since) {
+                true => due.push(ask),
+                false => script.live.answered(ask.id, ask.router, Answer::Refused(0)),
+            }
+        }
+    }
+    assert!(due.len() > 2, "{} requests came in that time", due.len());
+    due.iter().for_each(|ask| script.live.answered(ask.id, ask.router, Answer::Failed));
+    script.pass(2_000 * MS);
+    let breaches = script.live.finish().breaches;
+    let is_due = |id: Option<RequestId>| due.iter().any(|ask| Some(ask.id) == id);
+    breaches.into_iter().filter(|b| is_due(b.request)).map(|b| b.rule).collect()
+}
+
+#[test]
+fn a_router_that_just_woke_up_has_the_slack_to_answer_and_no_more() {
+    assert_eq!(found_after_a_standstill(100 * MS), []);
+    assert!(found_after_a_standstill(200 * MS).contains(&Rule::Lost));
+}
