--- a/crates/driver/src/cli/mod.rs
+++ b/crates/driver/src/cli/mod.rs
@@ -123,7 +123,8 @@
 /// What an operator's file says; else all that is wrong with it, a line each.
 fn plans(config: &Config, path: &Path) -> Result<Plans, String> {
     let file = path.display().to_string();
-    config.operator(&file, &text_of(path)?).map_err(|found| {
+    let operated = config.operator(&file, &text_of(path)?);
+    operated.map(|operated| operated.plans).map_err(|found| {
         let lines: Vec<String> = found.iter().map(ToString::to_string).collect();
         lines.join("\n")
     })
--- a/crates/driver/src/config.rs
+++ b/crates/driver/src/config.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::{env, fs};
 
+use beaconshore_gossip::Policy as GossipPolicy;
 use beaconshore_operator::parse;
 use beaconshore_operator::text::Problem;
 use beaconshore_settings::Site;
@@ -46,11 +47,28 @@
     /// What the operator's file says; without one nothing is planned.
     #[serde(skip)]
     pub plans: Plans,
+    /// Whether processor time is measured by kind of work, as the operator's file says.
+    #[serde(skip)]
+    pub accounting: bool,
+    /// How this driver spreads what it learns of members, as the operator's file says; none: to all others at once.
+    #[serde(skip)]
+    pub gossip: Option<GossipPolicy>,
     /// Why the operator's file can't be used, if so: the rest of the configuration holds all the same.
     #[serde(skip)]
     pub refused: Option<String>,
 }
 
+/// What an operator's file says to one driver.
+#[derive(Debug)]
+pub struct Operated {
+    /// Zones and routes.
+    pub plans: Plans,
+    /// Whether processor time is measured by kind of work.
+    pub accounting: bool,
+    /// How what is learnt of members is spread.
+    pub gossip: Option<GossipPolicy>,
+}
+
 /// What the machine allows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 pub struct Limits {
@@ -86,7 +104,10 @@
         config.listen = address("RELAY_LISTEN")?.unwrap_or(config.listen);
         if let Some(path) = variable("BEACONSHORE_OPERATOR") {
             match config.operated(&path) {
-                Ok(plans) => config.plans = plans,
+                Ok(operated) => {
+                    config.plans = operated.plans;
+                    (config.accounting, config.gossip) = (operated.accounting, operated.gossip);
+                }
                 Err(reason) => config.refused = Some(format!("operator's file {reason}")),
             }
         }
@@ -100,7 +121,7 @@
         Config::parse(&text).map_err(|e| format!("configuration {path}: {e}"))
     }
 
-    fn operated(&self, path: &str) -> Result<Plans, String> {
+    fn operated(&self, path: &str) -> Result<Operated, String> {
         let text = fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
         let lines =
             |found: Vec<Problem>| found.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ");
@@ -108,7 +129,7 @@
     }
 
     /// What an operator's file says, for this driver; else everything that is wrong with it.
-    pub fn operator(&self, file: &str, text: &str) -> Result<Plans, Vec<Problem>> {
+    pub fn operator(&self, file: &str, text: &str) -> Result<Operated, Vec<Problem>> {
         let operator = parse(file, text).map_err(|e| vec![e])?;
         let (settings, dialect) = (&self.settings.settings, &self.settings.dialect);
         let mut plans = Plans { classes: dialect.classes.clone(), ..Plans::default() };
@@ -134,8 +155,13 @@
                 Err(found) => problems.extend(found),
             }
         }
+        let gossip = operator.gossip.as_ref().map(|gossip| beaconshore_operator::gossip(file, text, gossip));
+        let gossip = gossip.transpose().unwrap_or_else(|problem| {
+            problems.push(problem);
+            None
+        });
         if problems.is_empty() {
-            Ok(plans)
+            Ok(Operated { plans, accounting: operator.accounting.unwrap_or(false), gossip })
         } else {
             Err(problems)
         }
@@ -150,6 +176,8 @@
             ("limits", self.limits != other.limits),
             ("peers", peers(self) != peers(other)),
             ("settings", self.settings != other.settings),
+            ("the operator's gossip", other.refused.is_none() && self.gossip != other.gossip),
+            ("the operator's accounting", other.refused.is_none() && self.accounting != other.accounting),
             ("the operator's zones", other.refused.is_none() && self.plans.zones != other.plans.zones),
         ];
         changes.into_iter().filter(|(_, changed)| *changed).map(|(name, _)| name).collect()
--- a/crates/driver/src/discovery/answer.rs
+++ b/crates/driver/src/discovery/answer.rs
@@ -4,6 +4,7 @@
 
 use std::future::Future;
 use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_io::Async;
@@ -16,6 +17,9 @@
 use crate::clock::until;
 use crate::http;
 use crate::listing::Listing;
+use crate::meter::Work;
+use crate::stats::Counter;
+use crate::Node;
 
 /// Room for each read, at least.
 const ROOM: usize = 4 * 1024;
@@ -23,6 +27,7 @@
 const MAX_LISTING: usize = 4 * 1024 * 1024;
 
 pub struct Answer {
+    node: Rc<Node>,
     stream: Async<TcpStream>,
     buffer: Buffer,
     response: http::Response,
@@ -35,11 +40,18 @@
 
 impl Answer {
     /// Calls discovery; yields once the answer's head is there, within this time.
-    pub async fn open(address: SocketAddr, target: &str, call: Duration) -> Result<Answer, End> {
+    pub async fn open(
+        node: &Rc<Node>,
+        address: SocketAddr,
+        target: &str,
+        call: Duration,
+    ) -> Result<Answer, End> {
         let whole_by = Instant::now() + call;
         let open = async {
             let mut stream = Async::<TcpStream>::connect(address).await.map_err(End::Io)?;
-            stream.write_all(http::get(target, &address.to_string()).as_bytes()).await.map_err(End::Io)?;
+            let request = http::get(target, &address.to_string());
+            stream.write_all(request.as_bytes()).await.map_err(End::Io)?;
+            node.stats.add(Counter::ListBytesSent, request.len());
             let mut buffer = Buffer::default();
             loop {
                 if let Some((response, length)) = http::head(buffer.filled()).map_err(End::Http)? {
@@ -48,11 +60,14 @@
                         return Err(End::Status(response.status));
                     }
                     let (values, spoke) = (Values::default(), Instant::now());
-                    return Ok(Answer { stream, buffer, response, values, whole_by, spoke });
+                    let node = node.clone();
+                    return Ok(Answer { node, stream, buffer, response, values, whole_by, spoke });
                 }
-                if buffer.fill(buffer.filled().len() + ROOM, &mut stream).await.map_err(End::Io)? == 0 {
+                let count = buffer.fill(buffer.filled().len() + ROOM, &mut stream).await.map_err(End::Io)?;
+                if count == 0 {
                     return Err(End::Closed);
                 }
+                node.stats.add(Counter::ListBytesReceived, count);
             }
         };
         in_time(whole_by, open).await
@@ -75,7 +90,8 @@
         loop {
             let done = self.take()?;
             let came = self.values.begun() > 0;
-            let listing = self.values.listing().map_err(End::Json)?;
+            let Answer { node, values, .. } = self;
+            let listing = node.meter.measure(Work::List, || values.listing()).map_err(End::Json)?;
             if listing.is_some() || came && self.values.begun() == 0 {
                 self.spoke = Instant::now();
                 return Ok(listing);
@@ -101,7 +117,9 @@
         future::yield_now().await;
         let wanted = self.buffer.filled().len() + ROOM.max(self.values.begun());
         let read = async { self.buffer.fill(wanted, &mut self.stream).await.map_err(End::Io) };
-        in_time(end, read).await
+        let count = in_time(end, read).await?;
+        self.node.stats.add(Counter::ListBytesReceived, count);
+        Ok(count)
     }
 }
 
--- a/crates/driver/src/discovery/mod.rs
+++ b/crates/driver/src/discovery/mod.rs
@@ -23,6 +23,7 @@
 
 use crate::http;
 use crate::listing::Listing;
+use crate::meter::Work;
 use crate::module::ModuleHandle;
 use crate::stats::Counter;
 use crate::Node;
@@ -77,7 +78,7 @@
 }
 
 /// The newest address that is to be followed, once it has given its whole list, with that list.
-async fn moved(node: &Node, addresses: &Receiver<SocketAddr>) -> (SocketAddr, Listing) {
+async fn moved(node: &Rc<Node>, addresses: &Receiver<SocketAddr>) -> (SocketAddr, Listing) {
     let named = || async {
         match addresses.recv().await {
             Ok(address) => address,
@@ -96,7 +97,7 @@
 }
 
 /// The whole list at an address, asked for until it is given.
-async fn whole(node: &Node, address: SocketAddr) -> Listing {
+async fn whole(node: &Rc<Node>, address: SocketAddr) -> Listing {
     let mut calls = Calls::new(node, address);
     loop {
         match list(node, address, calls.pace.call).await {
@@ -111,7 +112,7 @@
 
 /// Follows the list at one address without end.
 async fn follow_one(
-    node: &Node,
+    node: &Rc<Node>,
     address: SocketAddr,
     version: Option<u64>,
     module: &ModuleHandle,
@@ -206,32 +207,33 @@
 }
 
 /// Fetches the whole list, with a digest of its text.
-async fn list(node: &Node, address: SocketAddr, call: Duration) -> Result<(Listing, u64), End> {
-    let answer = Answer::open(address, "/v1/endpoints", call).await?;
+async fn list(node: &Rc<Node>, address: SocketAddr, call: Duration) -> Result<(Listing, u64), End> {
+    let answer = Answer::open(node, address, "/v1/endpoints", call).await?;
     node.stats.count(Counter::Watches);
     let text = answer.whole().await?;
     let mut digest = DefaultHasher::new();
     text.hash(&mut digest);
-    Ok((serde_json::from_slice(&text).map_err(End::Json)?, digest.finish()))
+    let listing = node.meter.measure(Work::List, || serde_json::from_slice(&text)).map_err(End::Json)?;
+    Ok((listing, digest.finish()))
 }
 
 /// Opens a watch of the changes after a version.
-async fn open(node: &Node, address: SocketAddr, from: u64, call: Duration) -> Result<Answer, End> {
-    let answer = Answer::open(address, &format!("/v1/endpoints?watch=1&from={from}"), call).await?;
+async fn open(node: &Rc<Node>, address: SocketAddr, from: u64, call: Duration) -> Result<Answer, End> {
+    let answer = Answer::open(node, address, &format!("/v1/endpoints?watch=1&from={from}"), call).await?;
     node.stats.count(Counter::Watches);
     Ok(answer)
 }
 
 /// The calls of one address: their pace, and whether it answers.
 struct Calls<'n> {
-    node: &'n Node,
+    node: &'n Rc<Node>,
     address: SocketAddr,
     pace: Pace,
     down: bool,
 }
 
 impl<'n> Calls<'n> {
-    fn new(node: &'n Node, address: SocketAddr) -> Self {
+    fn new(node: &'n Rc<Node>, address: SocketAddr) -> Self {
         Calls { node, address, pace: Pace::within(node.site.dialect.drain_grace), down: false }
     }
 
--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -11,12 +11,14 @@
 pub mod client;
 pub mod clock;
 pub mod config;
+pub mod control;
 pub mod descriptors;
 pub mod discovery;
 pub mod http;
 pub mod ids;
 pub mod listing;
 pub mod member;
+pub mod meter;
 pub mod module;
 pub mod peers;
 pub mod pg;
@@ -28,25 +30,29 @@
 
 use std::cell::Cell;
 use std::future::Future;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener};
 use std::pin::pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 
 use async_channel::Sender;
-use async_executor::LocalExecutor;
+use async_executor::{LocalExecutor, Task};
 use async_io::Async;
+use beaconshore::interface::Micros;
 use beaconshore_settings::Site;
 use beaconshore_steering::Plans;
 use futures_lite::{Stream, StreamExt};
 use log::{info, warn};
 
 pub use config::Config;
+pub use control::Control;
 
 use budget::Budget;
 use clock::Clock;
 use descriptors::{Descriptors, Permit, Places};
 use ids::Ids;
-use module::{Mail, Module, ModuleHandle};
+use member::SocketTransport;
+use meter::Meter;
+use module::{Mail, ModuleHandle};
 use pulse::Pulse;
 use skew::Skew;
 use stats::{Counter, Stats};
@@ -56,7 +62,8 @@
 
 /// What all actors of one driver have in common.
 pub struct Node {
-    executor: LocalExecutor<'static>,
+    /// Owned by the control plane: its end is theirs.
+    executor: Weak<LocalExecutor<'static>>,
     clock: Clock,
     site: Site,
     descriptors: Descriptors,
@@ -64,6 +71,7 @@
     ids: Ids,
     skew: Skew,
     stats: Stats,
+    meter: Meter,
     pulse: Pulse,
     requests: Cell<u64>,
     /// Lists and changes that the module took in: who acts on a decision can tell whether it is older than one.
@@ -82,9 +90,51 @@
         }
     }
 
-    /// Starts an actor that ends by itself.
-    fn spawn(&self, actor: impl Future<Output = ()> + 'static) {
-        self.executor.spawn(actor).detach();
+    /// Starts an actor that ends by itself, or with the driver.
+    pub fn spawn(&self, actor: impl Future<Output = ()> + 'static) {
+        self.start(actor).into_iter().for_each(Task::detach);
+    }
+
+    /// Starts a task; none while the driver is being dropped.
+    fn start(&self, task: impl Future<Output = ()> + 'static) -> Option<Task<()>> {
+        self.executor.upgrade().map(|executor| executor.spawn(task))
+    }
+
+    fn new(config: &Config, executor: Weak<LocalExecutor<'static>>) -> Node {
+        Node {
+            executor,
+            clock: Clock::start(),
+            site: config.settings.clone(),
+            descriptors: Descriptors::divide(config.limits.sockets),
+            budget: Budget::divide(config.limits.memory_mb),
+            ids: Ids::default(),
+            skew: Skew::default(),
+            stats: Stats::default(),
+            meter: Meter::new(config.accounting),
+            pulse: Pulse::default(),
+            requests: Cell::new(0),
+            lists: Cell::new(0),
+        }
+    }
+
+    /// The present, on this driver's clock.
+    pub fn now(&self) -> Micros {
+        self.clock.now()
+    }
+
+    /// Its counters.
+    pub fn stats(&self) -> &Stats {
+        &self.stats
+    }
+
+    /// Its processor time by kind of work.
+    pub fn meter(&self) -> &Meter {
+        &self.meter
+    }
+
+    /// How many lists and changes its decision module has taken in.
+    pub fn lists(&self) -> u64 {
+        self.lists.get()
     }
 }
 
@@ -100,41 +150,20 @@
     // Clients that come by the hundred are not to keep out others: one that finds no room tries again after a second.
     rustix::net::listen(&listener, BACKLOG).map_err(|e| bound("listening for clients")(e.into()))?;
     let listener = Async::new(listener).map_err(bound("listening for clients"))?;
-    let peer_address = config.peer_listen.filter(|_| config.settings.settings.limits.peer_messages);
-    let socket = peer_address.map(UdpSocket::bind).transpose().map_err(bound("listening for peers"))?;
-    let socket = socket.map(Async::new).transpose().map_err(bound("listening for peers"))?;
-
-    let node = Rc::new(Node {
-        executor: LocalExecutor::new(),
-        clock: Clock::start(),
-        site: config.settings.clone(),
-        descriptors: Descriptors::divide(config.limits.sockets),
-        budget: Budget::divide(config.limits.memory_mb),
-        ids: Ids::default(),
-        skew: Skew::default(),
-        stats: Stats::default(),
-        pulse: Pulse::default(),
-        requests: Cell::new(0),
-        lists: Cell::new(0),
-    });
     info!("{} listens at {}, {} members known", config.name, config.listen, config.known.instances.len());
 
-    let peers = socket.map(|socket| peers::start(&node, socket, &config));
-    let (module, handle) = Module::new(node.clone(), &config, peers.as_ref());
-    node.spawn(module.run(config.known.clone()));
-    peers.into_iter().for_each(|peers| node.spawn(peers.run(handle.clone())));
-    let (moves, addresses) = async_channel::unbounded();
-    node.spawn(discovery::follow(node.clone(), config.discovery, addresses, handle.clone()));
-    node.spawn(reload(config, reloads, moves, handle.clone()));
+    let control = Control::start(config, Rc::new(SocketTransport), reloads)?;
+    let (node, handle) = (control.node().clone(), control.module().clone());
     let (clients, emptied) = client::Clients::new(node.clone(), handle);
     node.spawn({
         let node = node.clone();
         async move { stats::report(&node).await }
     });
     let serve = shutdown::serve(node.clone(), listener, clients, emptied, stop);
-    async_io::block_on(node.executor.run(serve));
+    async_io::block_on(control.executor().run(serve));
     info!("counts: {}", node.stats.line());
     info!("holds: {}", stats::holdings(&node));
+    node.meter.line().into_iter().for_each(|line| info!("spent: {line}"));
     Ok(())
 }
 
--- a/crates/driver/src/member/mod.rs
+++ b/crates/driver/src/member/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::client::{Served, Wanted};
 use crate::clock::until;
+use crate::control::MemberTransport;
 use crate::descriptors::{Rank, Rest};
 use crate::module::{Mail, ModuleHandle, Statement};
 use crate::stats::Counter;
@@ -26,8 +27,7 @@
 
 use connection::{carry, probe, Connection};
 use reply::Reply;
-pub use told::report;
-use told::Told;
+pub use told::{report, Told};
 
 /// What reaches a member's actor.
 pub enum MemberMail {
@@ -89,6 +89,21 @@
     _rest: Rest,
 }
 
+/// Members on sockets.
+pub struct SocketTransport;
+
+impl MemberTransport for SocketTransport {
+    fn start(
+        &self,
+        node: &Rc<Node>,
+        module: &ModuleHandle,
+        id: MemberId,
+        address: SocketAddr,
+    ) -> Sender<MemberMail> {
+        Member::start(node, module, id, address)
+    }
+}
+
 /// The actor of one member.
 pub struct Member {
     node: Rc<Node>,
@@ -162,13 +177,14 @@
         self.node.stats.count(Counter::Attempts);
         let (node, id, address, sender) = (self.node.clone(), self.id, self.address, self.sender.clone());
         let (module, idle, request) = (self.module.clone(), self.take_idle(), attempt.request);
-        let task = self.node.executor.spawn(async move {
+        let task = self.node.start(async move {
             let (reply, connection) = carry(&node, &module, id, address, idle, &attempt).await;
             let took = node.clock.now().saturating_sub(attempt.sent);
             let Reply { outcome, served, told, .. } = reply;
             let end = AttemptEnd { request, member: id, outcome, served, told, took };
             let _ = sender.try_send(MemberMail::Ended(end, connection));
         });
+        let Some(task) = task else { return };
         let earlier = self.running.insert(request, task);
         self.node.stats.check(earlier.is_none(), "a request has one attempt out");
     }
--- a/crates/driver/src/module/mail.rs
+++ b/crates/driver/src/module/mail.rs
@@ -12,7 +12,7 @@
 use crate::client::{ClientMail, Wanted};
 use crate::listing::Listing;
 use crate::member::AttemptEnd;
-use crate::peers::PeerMail;
+use crate::peers::PeerMessage;
 use crate::pg;
 
 /// What reaches the module.
@@ -106,7 +106,7 @@
 pub struct ModuleHandle {
     pub(super) mail: Sender<Mail>,
     pub(super) lists: Sender<Listing>,
-    pub(super) words: Sender<(u32, PeerMail)>,
+    pub(super) words: Sender<(u32, PeerMessage)>,
 }
 
 impl ModuleHandle {
@@ -123,7 +123,7 @@
     }
 
     /// Passes on what another driver, by its number, has to tell; false if there is no room.
-    pub fn tell(&self, from: u32, mail: PeerMail) -> bool {
+    pub fn tell(&self, from: u32, mail: PeerMessage) -> bool {
         self.words.try_send((from, mail)).is_ok()
     }
 
--- a/crates/driver/src/module/mod.rs
+++ b/crates/driver/src/module/mod.rs
@@ -22,9 +22,11 @@
 
 use crate::client::{Answer, ClientMail};
 use crate::config::Config;
+use crate::control::MemberTransport;
 use crate::listing::{Instance, Lifecycle, Listing, LEADER};
-use crate::member::{Attempt, AttemptEnd, Member, MemberMail};
-use crate::peers::{self, Letter, PeerMail, PeerWord, Peers};
+use crate::member::{Attempt, AttemptEnd, MemberMail};
+use crate::meter::Work;
+use crate::peers::{self, MemberState, MemberTag, Outgoing, PeerMessage, Peers};
 use crate::pg;
 use crate::stats::Counter;
 use crate::Node;
@@ -42,7 +44,7 @@
     /// What the list calls it.
     name: Rc<str>,
     /// What drivers call it among each other.
-    tag: u32,
+    tag: MemberTag,
     address: SocketAddr,
     /// Its actor, once there was mail for it.
     actor: Option<Sender<MemberMail>>,
@@ -54,15 +56,16 @@
     router: Steering,
     mail: Receiver<Mail>,
     lists: Receiver<Listing>,
-    words: Receiver<(u32, PeerMail)>,
+    words: Receiver<(u32, PeerMessage)>,
     handle: ModuleHandle,
-    peers: Option<Sender<Letter>>,
+    peers: Option<Sender<Outgoing>>,
+    transport: Rc<dyn MemberTransport>,
     open: Requests<Sender<ClientMail>>,
     /// Members by their ids here, until the decision module forgets them.
     members: HashMap<MemberId, Known>,
     ids: HashMap<Rc<str>, MemberId>,
     /// Members by what drivers call them among each other: hundreds of drivers tell of one a thousand times a second.
-    tags: HashMap<u32, Vec<MemberId>>,
+    tags: HashMap<MemberTag, Vec<MemberId>>,
     /// How many members were ever listed: no id is given twice.
     listed: u32,
     due: Option<Instant>,
@@ -71,7 +74,12 @@
 
 impl Module {
     /// The actor, and the way to it.
-    pub fn new(node: Rc<Node>, config: &Config, peers: Option<&Peers>) -> (Self, ModuleHandle) {
+    pub fn new(
+        node: Rc<Node>,
+        config: &Config,
+        peers: Option<&Peers>,
+        transport: Rc<dyn MemberTransport>,
+    ) -> (Self, ModuleHandle) {
         let (mail_sender, mail) = async_channel::unbounded();
         let (list_sender, lists) = async_channel::bounded(LISTS);
         let (word_sender, words) = async_channel::bounded(DATAGRAMS);
@@ -90,6 +98,7 @@
             words,
             handle,
             peers,
+            transport,
             open,
             members,
             ids,
@@ -106,11 +115,12 @@
         enum Next {
             List(Listing),
             Mail(Mail),
-            Words(u32, PeerMail),
+            Words(u32, PeerMessage),
             Timer,
         }
         self.on_list(ListKind::Cached, known);
         let (lists, mail, words) = (self.lists.clone(), self.mail.clone(), self.words.clone());
+        let node = self.node.clone();
         let mut timer = Timer::never();
         let mut set = None;
         loop {
@@ -133,17 +143,21 @@
                 Err(_) => return,
                 Ok(Next::List(listing)) => {
                     let kind = if listing.reset { ListKind::Full } else { ListKind::Delta };
-                    self.on_list(kind, listing);
+                    node.meter.measure(Work::List, || self.on_list(kind, listing));
+                }
+                Ok(Next::Mail(mail)) => node.meter.measure(Work::Traffic, || self.on_mail(mail)),
+                Ok(Next::Words(from, mail)) => {
+                    node.meter.measure(Work::PeerMessages, || self.on_peer(from, mail));
                 }
-                Ok(Next::Mail(mail)) => self.on_mail(mail),
-                Ok(Next::Words(from, mail)) => self.on_peer(from, mail),
                 Ok(Next::Timer) => {
                     (self.due, set) = (None, None);
                     if self.node.pulse.beat(self.node.clock.now()) {
                         self.node.stats.count(Counter::Standstills);
                     }
-                    self.handle(&Event::Timer);
-                    self.sweep();
+                    node.meter.measure(Work::Timer, || {
+                        self.handle(&Event::Timer);
+                        self.sweep();
+                    });
                 }
             }
         }
@@ -169,16 +183,18 @@
         }
     }
 
-    fn on_peer(&mut self, from: u32, mail: PeerMail) {
+    fn on_peer(&mut self, from: u32, mail: PeerMessage) {
         match mail {
-            PeerMail::Words(words) => {
+            PeerMessage::MemberStates(words) => {
                 let words: Vec<Word> = words.iter().filter_map(|w| self.word(w)).collect();
                 self.handle(&Event::Told(words));
             }
-            PeerMail::Talks(mut talks) => {
+            PeerMessage::Loans(mut talks) => {
                 talks.iter_mut().for_each(|talk| talk.until = self.node.skew.ours(talk.until));
                 self.handle(&Event::Talk(from, talks));
             }
+            // Compared by the peers' actor.
+            PeerMessage::Digest(_) => {}
         }
     }
 
@@ -317,8 +333,8 @@
     }
 
     /// What a peer said, if it is plain of which member.
-    fn word(&self, word: &PeerWord) -> Option<Word> {
-        let [member] = self.tags.get(&word.tag)?[..] else { return None };
+    fn word(&self, word: &MemberState) -> Option<Word> {
+        let [member] = self.tags.get(&word.member)?[..] else { return None };
         Some(Word { member, position: self.node.skew.ours(word.position), role: word.role })
     }
 
@@ -384,7 +400,7 @@
         let Some(known) = self.members.get_mut(&member) else {
             return self.node.stats.check(false, "a member that gets mail is known");
         };
-        let start = || Member::start(&self.node, &self.handle, member, known.address);
+        let start = || self.transport.start(&self.node, &self.handle, member, known.address);
         let _ = known.actor.get_or_insert_with(start).try_send(mail);
     }
 
@@ -406,8 +422,10 @@
         let named = words.iter().filter_map(|w| Some((w, self.members.get(&w.member)?)));
         // Drivers tell each other the members' time: their own clocks may differ.
         let theirs = |w: &Word| self.node.skew.theirs(w.position);
-        let words = named.map(|(w, known)| PeerWord { tag: known.tag, position: theirs(w), role: w.role });
-        if peers.try_send((None, PeerMail::Words(words.collect()))).is_err() {
+        let words =
+            named.map(|(w, known)| MemberState { member: known.tag, position: theirs(w), role: w.role });
+        let message = PeerMessage::MemberStates(words.collect());
+        if peers.try_send(Outgoing { to: None, message }).is_err() {
             self.node.stats.count(Counter::Dropped);
         }
     }
@@ -419,7 +437,8 @@
         let mut by_driver: BTreeMap<Option<u32>, Vec<Talk>> = BTreeMap::new();
         talks.into_iter().for_each(|talk| by_driver.entry(talk.to).or_default().push(talk));
         for (to, talks) in by_driver {
-            if peers.try_send((to, PeerMail::Talks(talks))).is_err() {
+            let message = PeerMessage::Loans(talks);
+            if peers.try_send(Outgoing { to, message }).is_err() {
                 self.node.stats.count(Counter::Dropped);
             }
         }
--- a/crates/driver/src/peers/mod.rs
+++ b/crates/driver/src/peers/mod.rs
@@ -1,11 +1,11 @@
-//! Datagrams between drivers: what members said of their positions and roles, and what planners tell each other.
+//! Messages between drivers: the actor that owns their socket.
 //!
-//! A datagram of words holds a version, a base time (Unix ms, 6 bytes), and words of 8 bytes: the tag of a member's name,
-//! then how many milliseconds its position is before the base, times 4, plus its role. One of
-//! talks holds another version, a base time, and talks of 12 bytes: a zone, the number of a driver (or none), work in
-//! microseconds, and how many milliseconds after the base it ends. What does not read as
-//! such, or does not come from a peer, is dropped whole.
+//! Without a policy for gossip each message goes to all others at once; with one, what is learnt of members is spread by
+//! `beaconshore_gossip` within its budget of bytes. What does not read as a message, or comes from no peer, is dropped.
 
+pub mod message;
+
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
@@ -13,24 +13,19 @@
 
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
-use beaconshore::interface::{Micros, Role, Talk, ZoneId};
+use beaconshore_gossip::{Gossip, Message, PeerNumber, Send};
 use futures_lite::future;
 
 use crate::config::Config;
+use crate::meter::Work;
 use crate::module::ModuleHandle;
 use crate::stats::Counter;
 use crate::Node;
 
-/// Longest datagram.
-const MAX_DATAGRAM: usize = 256;
-const VERSION: u8 = 1;
-/// The version of datagrams of talks.
-const TALKS: u8 = 2;
-const HEADER: usize = 7;
-const WORD: usize = 8;
-const TALK: usize = 12;
-/// In the place of a driver's number: to all, an ask.
-const NOBODY: u16 = u16::MAX;
+pub use beaconshore_gossip::{MemberState, MemberTag};
+use message::MAX_DATAGRAM;
+pub use message::{tag, Outgoing, PeerMessage};
+
 /// Messages that may wait to be sent; further ones are dropped, as datagrams may be.
 const MAILBOX: usize = 16;
 /// Pause after all that had come was read. Hundreds of drivers each tell little: read one by one as they come, their datagrams
@@ -42,184 +37,109 @@
 /// Datagrams read between two looks at other work.
 const ROUND: usize = 16;
 
-/// What one driver tells another of a member.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PeerWord {
-    /// Names the member among all drivers.
-    pub tag: u32,
-    /// Position that it had reached.
-    pub position: Micros,
-    /// The role that it named.
-    pub role: Option<Role>,
-}
-
-/// What drivers tell each other.
-#[derive(Clone, Debug, PartialEq)]
-pub enum PeerMail {
-    /// What members said.
-    Words(Vec<PeerWord>),
-    /// What planners have to say.
-    Talks(Vec<Talk>),
-}
-
-/// What is to be told, and to which driver by its number; none: to all others.
-pub type Letter = (Option<u32>, PeerMail);
-
-impl PeerMail {
-    /// Writes it to datagrams.
-    pub fn encode(&self) -> Vec<Vec<u8>> {
-        match self {
-            PeerMail::Words(words) => encode(words),
-            PeerMail::Talks(talks) => encode_talks(talks),
-        }
-    }
-
-    /// Reads a datagram; none if any of it is malformed.
-    pub fn decode(bytes: &[u8]) -> Option<PeerMail> {
-        match bytes.first() {
-            Some(&TALKS) => decode_talks(bytes).map(PeerMail::Talks),
-            _ => decode(bytes).map(PeerMail::Words),
-        }
-    }
-}
-
-/// Writes talks to datagrams.
-fn encode_talks(talks: &[Talk]) -> Vec<Vec<u8>> {
-    let base = talks.iter().map(|t| t.until / 1000).min().unwrap_or(0);
-    let datagram = |talks: &[Talk]| {
-        let mut bytes = vec![TALKS];
-        bytes.extend_from_slice(&base.to_be_bytes()[2..]);
-        for talk in talks {
-            let to = talk.to.and_then(|to| u16::try_from(to).ok()).unwrap_or(NOBODY);
-            let after = u32::try_from(talk.until / 1000 - base).unwrap_or(u32::MAX);
-            bytes.extend_from_slice(&talk.zone.0.to_be_bytes());
-            bytes.extend_from_slice(&to.to_be_bytes());
-            // A number that does not fit is cut to what does.
-            bytes.extend_from_slice(&(talk.work as u32).to_be_bytes());
-            bytes.extend_from_slice(&after.to_be_bytes());
-        }
-        bytes
-    };
-    // What is lent to a driver whose number does not fit would read as an ask.
-    let fits = |t: &&Talk| t.to.is_none_or(|to| to < u32::from(NOBODY));
-    let talks: Vec<Talk> = talks.iter().filter(fits).cloned().collect();
-    talks.chunks((MAX_DATAGRAM - HEADER) / TALK).map(datagram).collect()
-}
-
-fn decode_talks(bytes: &[u8]) -> Option<Vec<Talk>> {
-    let (base, talks) = bytes.get(1..)?.split_at_checked(HEADER - 1)?;
-    if bytes.len() > MAX_DATAGRAM || talks.len() % TALK != 0 {
-        return None;
-    }
-    let base = base.iter().fold(0, |sum, &b| sum << 8 | Micros::from(b));
-    let read = |talk: &[u8]| {
-        let short = |at: usize| Some(u16::from_be_bytes(*talk.get(at..)?.first_chunk()?));
-        let long = |at: usize| Some(u32::from_be_bytes(*talk.get(at..)?.first_chunk()?));
-        let to = Some(short(2)?).filter(|to| *to != NOBODY).map(u32::from);
-        let until = base.checked_add(Micros::from(long(8)?))?.checked_mul(1000)?;
-        Some(Talk { zone: ZoneId(short(0)?), to, work: f64::from(long(4)?), until })
-    };
-    talks.chunks_exact(TALK).map(read).collect()
-}
-
-/// The tag of a member's name (FNV-1a).
-pub fn tag(name: &str) -> u32 {
-    name.bytes().fold(0x811c_9dc5, |hash, b| (hash ^ u32::from(b)).wrapping_mul(0x0100_0193))
-}
-
-/// Writes words to datagrams.
-pub fn encode(words: &[PeerWord]) -> Vec<Vec<u8>> {
-    let base = words.iter().map(|w| w.position / 1000).max().unwrap_or(0);
-    let datagram = |words: &[PeerWord]| {
-        let mut bytes = vec![VERSION];
-        bytes.extend_from_slice(&base.to_be_bytes()[2..]);
-        for word in words {
-            let before = (base - word.position / 1000) as u32;
-            let role = match word.role {
-                None => 0,
-                Some(Role::Primary) => 1,
-                Some(Role::Replica) => 2,
-            };
-            bytes.extend_from_slice(&word.tag.to_be_bytes());
-            bytes.extend_from_slice(&(before << 2 | role).to_be_bytes());
-        }
-        bytes
-    };
-    // Of what is much older than the newest there is no news.
-    let near = |w: &&PeerWord| base - w.position / 1000 <= u64::from(u32::MAX >> 2);
-    let words: Vec<PeerWord> = words.iter().filter(near).copied().collect();
-    words.chunks((MAX_DATAGRAM - HEADER) / WORD).map(datagram).collect()
-}
-
-/// Reads a datagram; none if any of it is malformed.
-pub fn decode(bytes: &[u8]) -> Option<Vec<PeerWord>> {
-    let (&version, rest) = bytes.split_first()?;
-    let (base, words) = rest.split_at_checked(HEADER - 1)?;
-    if version != VERSION || bytes.len() > MAX_DATAGRAM || words.len() % WORD != 0 {
-        return None;
-    }
-    let base = base.iter().fold(0, |sum, &b| sum << 8 | Micros::from(b));
-    let read = |word: &[u8]| {
-        let (tag, said) = (u32::from_be_bytes(*word.first_chunk()?), u32::from_be_bytes(*word.last_chunk()?));
-        let role = match said & 3 {
-            0 => None,
-            1 => Some(Role::Primary),
-            2 => Some(Role::Replica),
-            _ => return None,
-        };
-        let position = base.checked_sub(Micros::from(said >> 2))?.checked_mul(1000)?;
-        Some(PeerWord { tag, position, role })
-    };
-    words.chunks_exact(WORD).map(read).collect()
-}
-
 /// The actor of all peers.
 pub struct Peers {
     node: Rc<Node>,
     socket: Async<UdpSocket>,
     own: Option<SocketAddr>,
     /// All of them, by number.
-    numbers: Vec<SocketAddr>,
-    /// Their numbers.
-    places: HashMap<SocketAddr, u32>,
+    addresses: Vec<SocketAddr>,
+    numbers: HashMap<SocketAddr, u32>,
     others: Vec<SocketAddr>,
+    /// An address that reaches all of them.
     all: Option<SocketAddr>,
-    sender: Sender<Letter>,
-    mailbox: Receiver<Letter>,
+    gossip: Option<RefCell<Gossip>>,
+    sender: Sender<Outgoing>,
+    mailbox: Receiver<Outgoing>,
 }
 
 /// The actor, not yet running.
 pub fn start(node: &Rc<Node>, socket: Async<UdpSocket>, config: &Config) -> Peers {
     let (sender, mailbox) = async_channel::bounded(MAILBOX);
     let own = config.peer_listen;
-    let others = config.peers.iter().copied().filter(|&peer| Some(peer) != own).collect();
-    let numbers = config.peers.clone();
-    let places = (0..).zip(&numbers).map(|(number, peer)| (*peer, number)).collect();
-    Peers { node: node.clone(), socket, own, numbers, places, others, all: config.peers_all, sender, mailbox }
+    let addresses = config.peers.clone();
+    let own_number =
+        addresses.iter().position(|&peer| Some(peer) == own).map(|number| PeerNumber(number as u32));
+    let count = addresses.len() as u32;
+    let now = node.clock.now();
+    let gossip = config.gossip.map(|policy| Gossip::new(policy, own_number, count, config.seed, now));
+    Peers {
+        node: node.clone(),
+        socket,
+        own,
+        numbers: addresses.iter().copied().zip(0..).collect(),
+        others: addresses.iter().copied().filter(|&peer| Some(peer) != own).collect(),
+        addresses,
+        all: config.peers_all,
+        gossip: gossip.map(RefCell::new),
+        sender,
+        mailbox,
+    }
 }
 
 impl Peers {
     /// The way to its mailbox.
-    pub fn mailbox(&self) -> Sender<Letter> {
+    pub fn mailbox(&self) -> Sender<Outgoing> {
         self.sender.clone()
     }
 
     /// Sends and receives.
     pub async fn run(self, module: ModuleHandle) {
-        future::or(self.send(), self.receive(module)).await;
+        future::or(self.send(), future::or(self.receive(module), self.spread())).await;
     }
 
     async fn send(&self) {
-        while let Ok((to, mail)) = self.mailbox.recv().await {
-            let all = self.all.as_ref().map_or(&self.others[..], std::slice::from_ref);
-            let one = to.and_then(|number| self.numbers.get(number as usize));
-            for datagram in mail.encode() {
-                self.node.stats.check(datagram.len() <= MAX_DATAGRAM, "a datagram keeps its bound");
-                for &peer in one.map_or(all, std::slice::from_ref) {
-                    // Datagrams may be lost.
-                    let _ = self.socket.send_to(&datagram, peer).await;
-                    self.node.stats.count(Counter::Told);
+        while let Ok(outgoing) = self.mailbox.recv().await {
+            match (&self.gossip, outgoing.message) {
+                (Some(gossip), PeerMessage::MemberStates(states)) => {
+                    let now = self.node.clock.now();
+                    self.node.meter.measure(Work::PeerMessages, || {
+                        let mut gossip = gossip.borrow_mut();
+                        states.into_iter().for_each(|state| gossip.learn(state, now));
+                    });
                 }
+                (_, message) => self.send_message(outgoing.to, &message).await,
+            }
+        }
+    }
+
+    /// Sends a message to one driver, or to all others.
+    async fn send_message(&self, to: Option<u32>, message: &PeerMessage) {
+        let all = self.all.as_ref().map_or(&self.others[..], std::slice::from_ref);
+        let one = to.and_then(|number| self.addresses.get(number as usize));
+        for datagram in self.node.meter.measure(Work::PeerMessages, || message.encode()) {
+            self.node.stats.check(datagram.len() <= MAX_DATAGRAM, "a datagram keeps its bound");
+            for &peer in one.map_or(all, std::slice::from_ref) {
+                self.send_datagram(&datagram, peer).await;
+            }
+        }
+    }
+
+    async fn send_datagram(&self, datagram: &[u8], to: SocketAddr) {
+        self.node.stats.count(Counter::Told);
+        self.node.stats.add(Counter::PeerBytesSent, datagram.len());
+        let at_once =
+            self.node.meter.measure(Work::PeerMessages, || self.socket.get_ref().send_to(datagram, to));
+        if at_once.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock) {
+            // Datagrams may be lost.
+            let _ = self.socket.send_to(datagram, to).await;
+        }
+    }
+
+    /// Sends what each round of gossip has to say.
+    async fn spread(&self) {
+        let Some(gossip) = &self.gossip else { return future::pending().await };
+        loop {
+            let due = gossip.borrow().due();
+            Timer::at(self.node.clock.instant(due)).await;
+            let now = self.node.clock.now();
+            let sends = self.node.meter.measure(Work::PeerMessages, || gossip.borrow_mut().round(now));
+            for Send { to, message } in sends {
+                let message = match message {
+                    Message::States(states) => PeerMessage::MemberStates(states),
+                    Message::Digest(digest) => PeerMessage::Digest(digest),
+                };
+                self.send_message(Some(to.0), &message).await;
             }
         }
     }
@@ -236,7 +156,9 @@
             self.take(&bytes[..length], from, &module);
             // A flood of them is not to hold up the rest.
             for taken in 1.. {
-                let Ok((length, from)) = self.socket.get_ref().recv_from(&mut bytes) else { break };
+                let meter = &self.node.meter;
+                let more = meter.measure(Work::PeerMessages, || self.socket.get_ref().recv_from(&mut bytes));
+                let Ok((length, from)) = more else { break };
                 self.take(&bytes[..length], from, &module);
                 if taken % ROUND == 0 {
                     future::yield_now().await;
@@ -250,8 +172,29 @@
         if Some(from) == self.own {
             return;
         }
-        let mail = PeerMail::decode(bytes);
-        let heard = self.places.get(&from).zip(mail).is_some_and(|(&number, mail)| module.tell(number, mail));
-        self.node.stats.count(if heard { Counter::Heard } else { Counter::Dropped });
+        self.node.stats.add(Counter::PeerBytesReceived, bytes.len());
+        let taken = self.node.meter.measure(Work::PeerMessages, || {
+            let number = self.numbers.get(&from)?;
+            self.accept(*number, PeerMessage::decode(bytes)?, module)
+        });
+        self.node.stats.count(if taken.is_some() { Counter::Heard } else { Counter::Dropped });
+    }
+
+    /// Takes a message in; none if it finds no room.
+    fn accept(&self, from: u32, message: PeerMessage, module: &ModuleHandle) -> Option<()> {
+        let message = match (message, &self.gossip) {
+            (PeerMessage::Digest(digest), Some(gossip)) => {
+                gossip.borrow_mut().on_digest(PeerNumber(from), &digest);
+                return Some(());
+            }
+            // Sent by a driver that spreads by gossip where this one does not: it has nothing to compare.
+            (PeerMessage::Digest(_), None) => return None,
+            (PeerMessage::MemberStates(states), Some(gossip)) => {
+                let news = gossip.borrow_mut().on_states(&states, self.node.clock.now());
+                PeerMessage::MemberStates(news)
+            }
+            (message, _) => message,
+        };
+        module.tell(from, message).then_some(())
     }
 }
--- a/crates/driver/src/stats.rs
+++ b/crates/driver/src/stats.rs
@@ -83,6 +83,14 @@
     Heard = "heard",
     /// Datagrams passed over.
     Dropped = "dropped",
+    /// Bytes of datagrams sent, without their headers.
+    PeerBytesSent = "peer_bytes_sent",
+    /// Bytes of datagrams that came, without their headers.
+    PeerBytesReceived = "peer_bytes_received",
+    /// Bytes sent to discovery.
+    ListBytesSent = "list_bytes_sent",
+    /// Bytes that came from discovery.
+    ListBytesReceived = "list_bytes_received",
     /// Times that somebody had to wait for a descriptor.
     Short = "short_of_descriptors",
     /// Times that the driver stood still.
@@ -92,18 +100,33 @@
 );
 
 /// The driver's counters, how zones stand, and the sizes of the decision module's tables as last noted.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Stats {
     counts: [Cell<u64>; NAMES.len()],
     sizes: Cell<Sizes>,
     zones: RefCell<Vec<ZoneStatus>>,
 }
 
+impl Default for Stats {
+    fn default() -> Self {
+        Stats {
+            counts: std::array::from_fn(|_| Cell::new(0)),
+            sizes: Cell::default(),
+            zones: RefCell::default(),
+        }
+    }
+}
+
 impl Stats {
     /// Counts one.
     pub fn count(&self, counter: Counter) {
+        self.add(counter, 1);
+    }
+
+    /// Counts so many.
+    pub fn add(&self, counter: Counter, many: usize) {
         let cell = &self.counts[counter as usize];
-        cell.set(cell.get() + 1);
+        cell.set(cell.get() + many as u64);
     }
 
     /// How many were counted.
@@ -175,6 +198,7 @@
         if line != last {
             info!("counts: {line}");
             info!("holds: {}", holdings(node));
+            node.meter.line().into_iter().for_each(|line| info!("spent: {line}"));
             node.stats.zones().iter().for_each(|line| info!("zones: {line}"));
             last = line;
         }
--- a/crates/driver/tests/parsers.rs
+++ b/crates/driver/tests/parsers.rs
@@ -3,7 +3,7 @@
 use beaconshore::interface::{Role, Talk, ZoneId};
 use beaconshore_driver::config::Config;
 use beaconshore_driver::listing::{Lifecycle, Listing};
-use beaconshore_driver::peers::PeerMail;
+use beaconshore_driver::peers::PeerMessage;
 use beaconshore_driver::pg::{self, Backend, Broken, Frontend, Opening, Severity};
 use beaconshore_driver::{http, peers};
 
@@ -109,8 +109,12 @@
         }
         let _ = pg::request(&bytes);
         let _ = pg::single_value(&bytes);
-        let words = peers::decode(&bytes);
-        assert!(words.is_none_or(|words| 7 + 8 * words.len() == bytes.len()));
+        let length = |message| match message {
+            PeerMessage::MemberStates(states) => 7 + 8 * states.len(),
+            PeerMessage::Loans(loans) => 7 + 12 * loans.len(),
+            PeerMessage::Digest(_) => 7 + 4 * 32,
+        };
+        assert!(PeerMessage::decode(&bytes).is_none_or(|message| length(message) == bytes.len()));
         if let Ok(Some((mut response, at))) = http::head(&bytes) {
             let _ = response.body(&bytes[at..], &mut Vec::new());
         }
@@ -237,27 +241,46 @@
 }
 
 #[test]
-fn datagrams_hold_their_words_and_keep_their_bound() {
-    let word = |i: u64| peers::PeerWord {
-        tag: peers::tag(&format!("s-{i}")),
+fn datagrams_hold_their_states_and_keep_their_bound() {
+    let state = |i: u64| peers::MemberState {
+        member: peers::tag(&format!("s-{i}")),
         position: (1_767_225_600_000 + i) * 1000,
         role: [None, Some(Role::Primary), Some(Role::Replica)][i as usize % 3],
     };
-    let words: Vec<_> = (0..70).map(word).collect();
-    let datagrams = peers::encode(&words);
+    let decode = |bytes: &[u8]| match PeerMessage::decode(bytes) {
+        Some(PeerMessage::MemberStates(states)) => Some(states),
+        _ => None,
+    };
+    let states: Vec<_> = (0..70).map(state).collect();
+    let datagrams = PeerMessage::MemberStates(states.clone()).encode();
     assert!(datagrams.iter().all(|d| d.len() <= 256));
-    let read: Vec<_> = datagrams.iter().flat_map(|d| peers::decode(d).unwrap()).collect();
-    assert_eq!(read, words);
+    let read: Vec<_> = datagrams.iter().flat_map(|d| decode(d).unwrap()).collect();
+    assert_eq!(read, states);
     let whole = &datagrams[0];
     for length in (0..whole.len()).filter(|l| *l < 7 || (l - 7) % 8 != 0) {
-        assert_eq!(peers::decode(&whole[..length]), None, "{length}");
+        assert_eq!(PeerMessage::decode(&whole[..length]), None, "{length}");
     }
     let mut other = whole.clone();
     other[0] += 1;
-    assert_eq!(peers::decode(&other), None, "another version");
+    assert_eq!(PeerMessage::decode(&other), None, "another version");
     other[0] -= 1;
     *other.last_mut().unwrap() |= 3;
-    assert_eq!(peers::decode(&other), None, "a role that is none");
+    assert_eq!(PeerMessage::decode(&other), None, "a role that is none");
+    assert_eq!(PeerMessage::decode(&[whole.clone(), vec![0; 8]].concat()), None, "over the bound");
+}
+
+#[test]
+fn a_digest_is_read_as_it_was_written_and_only_whole() {
+    let mut digest = beaconshore_gossip::Digest::default();
+    (0..100).for_each(|n| digest.add(peers::tag(&format!("s-{n}")), Role::Replica));
+    let datagrams = PeerMessage::Digest(digest).encode();
+    assert_eq!(datagrams.len(), 1);
+    assert!(datagrams[0].len() <= 256);
+    assert_eq!(PeerMessage::decode(&datagrams[0]), Some(PeerMessage::Digest(digest)));
+    for length in 0..datagrams[0].len() {
+        assert_eq!(PeerMessage::decode(&datagrams[0][..length]), None, "{length}");
+    }
+    assert_eq!(PeerMessage::decode(&[&datagrams[0][..], &[0]].concat()), None);
 }
 
 #[test]
@@ -342,23 +365,23 @@
     let talks: Vec<Talk> = (0..50)
         .map(|i| talk((i % 3 > 0).then_some(i), f64::from(i) * 1000.0, base + 7_000 * u64::from(i)))
         .collect();
-    let datagrams = PeerMail::Talks(talks.clone()).encode();
+    let datagrams = PeerMessage::Loans(talks.clone()).encode();
     assert!(datagrams.iter().all(|d| d.len() <= 256) && datagrams.len() == 3);
-    let read = |d: &Vec<u8>| match PeerMail::decode(d) {
-        Some(PeerMail::Talks(talks)) => talks,
+    let read = |d: &Vec<u8>| match PeerMessage::decode(d) {
+        Some(PeerMessage::Loans(talks)) => talks,
         other => panic!("{other:?}"),
     };
     assert_eq!(datagrams.iter().flat_map(read).collect::<Vec<_>>(), talks);
     // Half a talk, and one to a driver whose number does not fit.
-    assert_eq!(PeerMail::decode(&datagrams[0][..20]), None);
-    assert_eq!(PeerMail::Talks(vec![talk(Some(70_000), 1.0, base)]).encode(), Vec::<Vec<u8>>::new());
+    assert_eq!(PeerMessage::decode(&datagrams[0][..20]), None);
+    assert_eq!(PeerMessage::Loans(vec![talk(Some(70_000), 1.0, base)]).encode(), Vec::<Vec<u8>>::new());
 }
 
 #[test]
 fn the_shipped_configuration_and_operators_file_fit_each_other() {
     let config = Config::parse(include_bytes!("../../../deploy/driver.json")).unwrap();
     let text = include_str!("../../../deploy/operator.textproto");
-    let zones = config.operator("operator.textproto", text).unwrap().zones.unwrap();
+    let zones = config.operator("operator.textproto", text).unwrap().plans.zones.unwrap();
     assert_eq!(
         (zones.zones.len(), zones.number),
         (3, None),
@@ -385,8 +408,8 @@
     let snippets: Vec<&str> = page.split("```text\n").skip(1).filter_map(|s| s.split("```").next()).collect();
     assert_eq!(snippets.len(), 8);
     for snippet in snippets {
-        let plans = config.operator("snippet", snippet);
-        let plans = plans.unwrap_or_else(|found| panic!("{snippet}{}", found[0]));
-        assert!(!plans.routes.unwrap().routes.is_empty());
+        let operated = config.operator("snippet", snippet);
+        let operated = operated.unwrap_or_else(|found| panic!("{snippet}{}", found[0]));
+        assert!(!operated.plans.routes.unwrap().routes.is_empty());
     }
 }
--- a/crates/driver/tests/troubles.rs
+++ b/crates/driver/tests/troubles.rs
@@ -5,7 +5,7 @@
 use std::net::UdpSocket;
 use std::time::{Duration, Instant};
 
-use beaconshore_driver::peers;
+use beaconshore_driver::peers::{self, PeerMessage};
 
 use common::client::{query, startup};
 use common::discovery::entry;
@@ -362,10 +362,12 @@
     let mut bytes = [0; 300];
     let length = peer.recv(&mut bytes).expect("a datagram after reads");
     assert!(length <= 256);
-    let words = peers::decode(&bytes[..length]).expect("a datagram that reads");
+    let Some(PeerMessage::MemberStates(states)) = PeerMessage::decode(&bytes[..length]) else {
+        panic!("no datagram of states: {:?}", &bytes[..length]);
+    };
     let tags = world.members().map(|m| peers::tag(&m.name));
-    assert!(!words.is_empty() && words.iter().all(|w| tags.contains(&w.tag)), "{words:?}");
-    assert!(words.iter().all(|w| w.position <= common::unix_ms() * 1000));
+    assert!(!states.is_empty() && states.iter().all(|s| tags.contains(&s.member)), "{states:?}");
+    assert!(states.iter().all(|s| s.position <= common::unix_ms() * 1000));
 
     let to: std::net::SocketAddr = world.driver.config["peer_listen"].as_str().unwrap().parse().unwrap();
     stranger.send_to(&bytes[..length], to).unwrap();
@@ -432,12 +434,12 @@
     let start = Instant::now();
     let before = world.driver.switches();
     for number in 0..DATAGRAMS {
-        let word = peers::PeerWord {
-            tag: peers::tag(&name),
+        let state = peers::MemberState {
+            member: peers::tag(&name),
             position: common::unix_ms() * 1000 - number,
             role: None,
         };
-        peer.send_to(&peers::encode(&[word]).concat(), to).unwrap();
+        peer.send_to(&PeerMessage::MemberStates(vec![state]).encode().concat(), to).unwrap();
         std::thread::sleep(Duration::from_millis(1));
     }
     let waits = world.driver.switches() - before;
--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -26,6 +26,67 @@
     Reader { file, text, e: &experiment }.plan()
 }
 
+/// A size that prevails over a file's.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Size {
+    /// Zones: as many of the file's as this, or further ones like them; none as the file says.
+    pub zones: Option<usize>,
+    /// Routers over all zones, a multiple of these.
+    pub routers: Option<usize>,
+    /// Members over all groups, a multiple of a group's.
+    pub members: Option<usize>,
+    /// Requests a second for each router; none: as many as the file gives each.
+    pub rate: Option<f64>,
+    /// Length in seconds.
+    pub seconds: Option<u32>,
+}
+
+/// Reads an experiment at another size.
+pub fn read_sized(file: &str, text: &str, size: &Size) -> Result<Plan, Problem> {
+    let mut experiment: proto::Experiment =
+        text::decode(DESCRIPTORS, "beaconshore.experiment.Experiment", file, text)?;
+    size.apply(&mut experiment).map_err(|reason| Problem { file: file.into(), place: None, reason })?;
+    Reader { file, text, e: &experiment }.plan()
+}
+
+impl Size {
+    fn apply(&self, experiment: &mut proto::Experiment) -> Result<(), String> {
+        let before =
+            experiment.routers.as_ref().map_or(0, |r| r.per_zone as usize * experiment.zone.len()) as f64;
+        if let Some(zones) = self.zones {
+            experiment.zone.truncate(zones);
+            for number in experiment.zone.len()..zones {
+                experiment.zone.push(proto::Zone { name: format!("zone-{number}"), clients: None });
+            }
+        }
+        let zones = experiment.zone.len();
+        if let (Some(count), Some(routers)) = (self.routers, experiment.routers.as_mut()) {
+            if zones == 0 || count == 0 || count % zones != 0 {
+                return Err(format!("{count} routers: a multiple of the {zones} zones is needed"));
+            }
+            routers.per_zone = (count / zones) as u32;
+        }
+        if let (Some(count), Some(groups)) = (self.members, experiment.groups.as_mut()) {
+            let each = groups.members.max(1) as usize;
+            if count == 0 || count % each != 0 {
+                return Err(format!("{count} members: a multiple of the {each} of a group is needed"));
+            }
+            groups.count = (count / each) as u32;
+        }
+        // A router has as many requests as before, whatever else is changed.
+        let now = experiment.routers.as_ref().map_or(0, |r| r.per_zone as usize * zones) as f64;
+        if let Some(clients) = experiment.clients.as_mut() {
+            clients.rate = match self.rate {
+                Some(rate) => rate * now,
+                None if before > 0.0 => clients.rate / before * now,
+                None => clients.rate,
+            };
+        }
+        experiment.seconds = self.seconds.unwrap_or(experiment.seconds);
+        Ok(())
+    }
+}
+
 struct Reader<'r> {
     file: &'r str,
     text: &'r str,
--- a/crates/lab/src/charts.rs
+++ b/crates/lab/src/charts.rs
@@ -8,6 +8,7 @@
 
 use crate::measures::{by_second, spread, times};
 use crate::plays::Plays;
+use crate::scale::{Run, SecondCosts};
 
 const SIZE: (u32, u32) = (960, 480);
 const GRID: RGBColor = RGBColor(225, 225, 225);
@@ -253,3 +254,38 @@
     root.present()?;
     Ok(())
 }
+
+/// Draws what control cost by second.
+pub fn scale(run: &Run, folder: &Path) -> Drawn {
+    let plan = &run.outcome.plan;
+    let line = |of: &dyn Fn(&SecondCosts) -> f64| -> Line {
+        run.hollow.iter().enumerate().map(|(at, costs)| (at as f64, of(costs))).collect()
+    };
+    let size = format!("{} drivers, {} databases", plan.router_count(), plan.member_count());
+    let draw = |file: &str, title: String, unit, lines: Vec<(String, RGBColor, Line)>, levels| {
+        let points = lines.iter().flat_map(|(_, _, line)| line.iter().map(|(_, value)| *value));
+        let most = 1.1 * points.fold(0.0_f64, f64::max);
+        Lines { title, unit, most, lines, bands: Vec::new(), levels }.draw(plan, &folder.join(file))
+    };
+    draw(
+        "bytes.svg",
+        format!("{}: bytes of control a second and hollow driver, {size}", plan.name),
+        "bytes",
+        vec![
+            ("messages between drivers".into(), hue(0), line(&|s| s.mean.peer_bytes())),
+            ("the list".into(), hue(1), line(&|s| s.mean.list_bytes())),
+        ],
+        vec![("2 KB".into(), 2048.0)],
+    )?;
+    draw(
+        "time.svg",
+        format!("{}: processor time of control a second and hollow driver, {size}", plan.name),
+        "microseconds",
+        vec![
+            ("messages between drivers".into(), hue(0), line(&|s| s.mean.peer_time / 1e3)),
+            ("the list".into(), hue(1), line(&|s| s.mean.list_time / 1e3)),
+            ("the module's timer".into(), hue(2), line(&|s| s.mean.timer_time / 1e3)),
+        ],
+        vec![("2 % of a core".into(), 20_000.0)],
+    )
+}
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -3,11 +3,12 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
-use beaconshore_emulator::{experiment, Brains, Plan};
+use beaconshore_emulator::experiment::{self, Size};
+use beaconshore_emulator::{Brains, Plan};
 use clap::{Parser, Subcommand, ValueEnum};
 
 use crate::plays::{self, Plays};
-use crate::{charts, demo, fleet, tables};
+use crate::{capacity, charts, demo, fleet, scale, tables};
 
 /// Most seeds of one run.
 const MOST_SEEDS: u64 = 10_000;
@@ -70,6 +71,44 @@
         #[arg(short, long, default_value_t = 1)]
         seed: u64,
     },
+    /// Plays an experiment's file on hollow drivers beside a few processes, on loopback and in real time: what control costs.
+    Scale {
+        /// The file.
+        experiment: PathBuf,
+        /// Drivers over all zones, a multiple of these; left out: as many as the file says.
+        #[arg(long)]
+        drivers: Option<usize>,
+        /// Databases over all groups, a multiple of a group's members; left out: as many as the file says.
+        #[arg(long)]
+        databases: Option<usize>,
+        /// Requests a second and driver; left out: as the file says.
+        #[arg(long)]
+        rate: Option<f64>,
+        /// Length in seconds; left out: as the file says.
+        #[arg(long)]
+        seconds: Option<u32>,
+        /// Of the drivers, processes of the program: a multiple of the zones; left out: one in each zone.
+        #[arg(short, long)]
+        processes: Option<usize>,
+        /// The program; left out: `beaconshore` beside this one.
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// An operator's file for all of them: its gossip is in force.
+        #[arg(long)]
+        operator: Option<PathBuf>,
+        /// Folder for tables, charts and logs.
+        #[arg(short, long, default_value = "target/scale")]
+        output: PathBuf,
+        /// Seed of the day.
+        #[arg(short, long, default_value_t = 1)]
+        seed: u64,
+        /// Folder in which the run's figures are added to those of earlier ones.
+        #[arg(long)]
+        record: Option<PathBuf>,
+    },
+    /// Measures what control costs as a fleet grows, and writes the slopes.
+    #[command(subcommand)]
+    Capacity(capacity::Command),
     /// Reads an experiment's file and says what it holds.
     Check {
         /// The file.
@@ -137,6 +176,27 @@
                 let request = fleet::Request { processes, program, operator, output, logs, seed };
                 fleet::compare(read(&experiment)?, &request)
             }
+            Command::Scale {
+                experiment,
+                drivers,
+                databases,
+                rate,
+                seconds,
+                processes,
+                program,
+                operator,
+                output,
+                seed,
+                record,
+            } => {
+                let size = Size { zones: None, routers: drivers, members: databases, rate, seconds };
+                let file = experiment.display().to_string();
+                let text = fs::read_to_string(&experiment).map_err(|e| format!("{file}: {e}"))?;
+                let plan = experiment::read_sized(&file, &text, &size).map_err(|e| e.to_string())?;
+                let processes = processes.unwrap_or(plan.zones.len());
+                scale::run(&plan, &scale::Request { processes, program, operator, output, seed, record })
+            }
+            Command::Capacity(command) => command.run(),
             Command::Check { experiment } => {
                 let plan = read(&experiment)?;
                 println!(
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -2,10 +2,12 @@
 //! defaults, and the errors, which name file, line, column, reason and remedy. Opens no file itself, keeps
 //! nothing, and decides nothing: what it reads becomes the policies of other packages.
 
+mod gossip;
 mod routes;
 pub mod text;
 mod zones;
 
+pub use gossip::gossip;
 pub use routes::routes;
 pub use zones::zones;
 
--- a/crates/rig/src/config.rs
+++ b/crates/rig/src/config.rs
@@ -19,8 +19,8 @@
     pub members: Vec<SocketAddr>,
     /// Others, by number, with itself in its own place.
     pub peers: Vec<SocketAddr>,
-    /// An address that reaches all of them.
-    pub peers_all: SocketAddr,
+    /// An address that reaches all of them, if there is one.
+    pub peers_all: Option<SocketAddr>,
 }
 
 /// An entry of the list in discovery's form; times are Unix times.
@@ -76,7 +76,7 @@
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "peer_listen": ways.peer_listen.to_string(),
         "peers": ways.peers.iter().map(ToString::to_string).collect::<Vec<_>>(),
-        "peers_all": ways.peers_all.to_string(),
+        "peers_all": ways.peers_all.map(|address| address.to_string()),
         "known": known,
         "settings": {
             "discovery": "pushed", "nInstances": settings.routers, "stepUs": settings.step, "zone": zone,
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -11,6 +11,7 @@
 mod agent;
 mod clients;
 mod config;
+pub mod embedded;
 mod hub;
 mod mail;
 mod play;
@@ -18,5 +19,5 @@
 mod store;
 pub mod wire;
 
-pub use play::{run, Outcome};
-pub use process::Program;
+pub use play::{run, run_fleet, Fleet, Outcome, Progress};
+pub use process::{Process, Program};
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -24,6 +24,7 @@
 use crate::agent::Agent;
 use crate::clients::Clients;
 use crate::config::{config, entry, Ways};
+use crate::embedded::{Embedded, Event, FromRouter, Reply};
 use crate::hub::Hub;
 use crate::mail::{Back, Link, Mail, Under};
 use crate::process::{Process, Program};
@@ -31,6 +32,8 @@
 
 /// The day's clock is looked at this often at least.
 const TICK: Duration = Duration::from_millis(20);
+/// Progress is told this often.
+const REPORT: Duration = Duration::from_secs(1);
 /// Ended processes are looked for this often.
 const WATCH: Duration = Duration::from_millis(100);
 /// Time for so many processes to start before what counts begins.
@@ -60,6 +63,8 @@
     pub behind: Duration,
     /// Whether the day was broken off.
     pub broken_off: bool,
+    /// When it began.
+    pub began: Instant,
 }
 
 /// What the rig itself is to do at a time.
@@ -70,19 +75,54 @@
     GoOn(usize),
 }
 
+/// Who plays a day's routers.
+pub struct Fleet<'f> {
+    /// The program, for those that are processes.
+    pub program: &'f Program,
+    /// So many routers of each zone are processes, the others are embedded.
+    pub processes_per_zone: usize,
+    /// Where the others run, and what they say.
+    pub embedded: Option<(&'f dyn Embedded, Receiver<FromRouter>)>,
+    /// Whether there is an address that reaches all routers; else each message is sent to each of the others.
+    pub broadcast: bool,
+    /// Called about once a second.
+    pub progress: &'f dyn Fn(Progress),
+}
+
+/// How far a day has come.
+#[derive(Clone, Copy, Debug)]
+pub struct Progress {
+    /// Seconds of the day, the time for starts before it included.
+    pub seconds: f64,
+    /// Of so many.
+    pub of: f64,
+    /// How late the rig was for its own day since the last time this was called.
+    pub late: Duration,
+}
+
+/// An attempt or a probe of an embedded router that waits for its reply.
+struct Waits {
+    router: usize,
+    member: usize,
+    /// The start of the member that its connection belongs to; none: a probe, or nothing came up.
+    epoch: Option<u32>,
+    request: Option<RequestId>,
+}
+
 struct Play<'p> {
     plan: &'p Plan,
     live: Live<'p>,
     seed: u64,
     began: Instant,
     offset: Micros,
-    program: &'p Program,
+    fleet: Fleet<'p>,
     folder: &'p Path,
     mail: Receiver<Mail>,
     hub: Hub,
     ways: Vec<Ways>,
     agents: Vec<Agent>,
     clients: Vec<Clients>,
+    embedded_waits: HashMap<u64, Waits>,
     processes: Vec<Option<Process>>,
     /// Starts of each, to tell the word of an earlier one.
     starts: Vec<u64>,
@@ -91,6 +131,8 @@
     waiting: HashMap<u64, Link>,
     later: Queue<Later>,
     outcome: Counts,
+    /// How late it was since the last report.
+    late: Micros,
 }
 
 #[derive(Default)]
@@ -102,6 +144,25 @@
     behind: Micros,
 }
 
+impl Fleet<'_> {
+    /// Whether a router of the day is embedded: routers of a zone have neighbouring numbers.
+    fn embeds(&self, plan: &Plan, router: usize) -> bool {
+        self.embedded.is_some() && router % plan.routers.per_zone >= self.processes_per_zone
+    }
+}
+
+/// What came while the day waited.
+enum Came {
+    Time,
+    Mail(Mail),
+    FromRouter(FromRouter),
+}
+
+/// The address by which an embedded router names a member; nobody connects to it.
+fn stand_in(member: usize) -> SocketAddr {
+    ([127, 0, 0, 1], (member + 1) as u16).into()
+}
+
 static RUNS: AtomicU32 = AtomicU32::new(0);
 
 /// An address for each process, of its own in this run: a port tried beforehand could be taken by another.
@@ -113,27 +174,35 @@
 
 /// Plays a day on processes of a program; it is broken off when `stop` is set.
 pub fn run(plan: &Plan, seed: u64, program: &Program, stop: &AtomicBool) -> io::Result<Outcome> {
+    let processes_per_zone = plan.routers.per_zone;
+    let fleet = Fleet { program, processes_per_zone, embedded: None, broadcast: true, progress: &|_| {} };
+    run_fleet(plan, seed, fleet, stop)
+}
+
+/// Plays a day on processes and embedded routers; it is broken off when `stop` is set.
+pub fn run_fleet(plan: &Plan, seed: u64, fleet: Fleet, stop: &AtomicBool) -> io::Result<Outcome> {
     let lead =
         (plan.router_count() as u64 * SECOND / STARTS_IN_A_SECOND).max(LEAST_LEAD) / SECOND * SECOND + SECOND;
     let played = plan.clone().after(lead);
     let folder = tempfile::tempdir()?;
     let executor = Rc::new(LocalExecutor::new());
     let (sender, mail) = async_channel::unbounded();
-    let mut play = Play::new(&played, seed, program, folder.path(), &executor, (sender, mail))?;
+    let mut play = Play::new(&played, seed, fleet, folder.path(), &executor, (sender, mail))?;
     future::block_on(executor.run(play.all(stop)));
     let Counts { came, passed, lost, connections, behind, .. } = std::mem::take(&mut play.outcome);
     // All processes end here, before their files go.
     play.processes.clear();
+    let began = play.began;
     let (day, broken_off) = (play.live.finish(), stop.load(Ordering::Relaxed));
     let behind = Duration::from_micros(behind);
-    Ok(Outcome { plan: played, day, came, passed, lost, connections, behind, broken_off })
+    Ok(Outcome { plan: played, day, came, passed, lost, connections, behind, broken_off, began })
 }
 
 impl<'p> Play<'p> {
     fn new(
         plan: &'p Plan,
         seed: u64,
-        program: &'p Program,
+        fleet: Fleet<'p>,
         folder: &'p Path,
         executor: &Rc<LocalExecutor<'static>>,
         (sender, mail): (Sender<Mail>, Receiver<Mail>),
@@ -152,6 +221,10 @@
         for (router, peer_listen) in listens.into_iter().enumerate() {
             let mut members = Vec::with_capacity(plan.member_count());
             for member in 0..plan.member_count() {
+                if fleet.embeds(plan, router) {
+                    members.push(stand_in(member));
+                    continue;
+                }
                 let listener = listen()?;
                 members.push(listener.get_ref().local_addr()?);
                 store.serve(listener, router, member);
@@ -161,7 +234,8 @@
             agent.serve(executor, listener);
             agents.push(agent);
             let listen = address(run, router, 5432);
-            let (peers, peers_all) = (hub.peers_of(router)?, hub.all()?);
+            let peers_all = if fleet.broadcast { Some(hub.all()?) } else { None };
+            let peers = hub.peers_of(router)?;
             ways.push(Ways { listen, peer_listen, agent: at, members, peers, peers_all });
             clients.push(Clients::new(router, listen, executor.clone(), sender.clone()));
         }
@@ -171,19 +245,21 @@
             seed,
             began: Instant::now(),
             offset,
-            program,
+            fleet,
             folder,
             mail,
             hub,
             ways,
             agents,
             clients,
+            embedded_waits: HashMap::new(),
             processes: (0..routers).map(|_| None).collect(),
             starts: vec![0; routers],
             links: HashMap::new(),
             waiting: HashMap::new(),
             later: Queue::new(DAWN),
             outcome: Counts { came: vec![0; plan.member_count()], ..Counts::default() },
+            late: 0,
         })
     }
 
@@ -193,6 +269,8 @@
 
     /// The whole day.
     async fn all(&mut self, stop: &AtomicBool) {
+        // Sockets of a large fleet take their time: the day begins after that.
+        self.began = Instant::now();
         self.live.begin();
         for router in 0..self.agents.len() {
             let entries = self.live.known(router).to_vec();
@@ -200,6 +278,9 @@
         }
         let end = DAWN + self.plan.length + TAIL;
         let (mut watched, mail) = (Instant::now(), self.mail.clone());
+        let never = async_channel::bounded(1);
+        let embedded = self.fleet.embedded.as_ref().map_or(never.1, |(_, events)| events.clone());
+        let mut reported = Instant::now();
         while self.now() < end && !stop.load(Ordering::Relaxed) {
             self.advance();
             if watched.elapsed() >= WATCH {
@@ -208,17 +289,35 @@
             }
             let next = [self.live.due(), self.later.due()].into_iter().flatten().min();
             let wait = next.map_or(TICK, |at| Duration::from_micros(at.saturating_sub(self.now())).min(TICK));
+            if reported.elapsed() >= REPORT {
+                reported = Instant::now();
+                self.report();
+            }
             let tick = async {
                 Timer::after(wait).await;
-                None
+                Came::Time
             };
-            if let Some(first) = future::or(async { mail.recv().await.ok() }, tick).await {
+            let from_mail = async { mail.recv().await.map_or(Came::Time, Came::Mail) };
+            let from_router = async { embedded.recv().await.map_or(Came::Time, Came::FromRouter) };
+            match future::or(from_mail, future::or(from_router, tick)).await {
+                Came::Time => continue,
                 // What came while the day's clock stood still came now.
-                self.live.advance(self.now());
-                self.take(first);
-                for _ in 0..ROUND {
-                    let Ok(more) = mail.try_recv() else { break };
-                    self.take(more);
+                Came::Mail(mail) => {
+                    self.live.advance(self.now());
+                    self.take(mail);
+                }
+                Came::FromRouter(event) => {
+                    self.live.advance(self.now());
+                    self.take_embedded(event);
+                }
+            }
+            for _ in 0..ROUND {
+                match (mail.try_recv(), embedded.try_recv()) {
+                    (Err(_), Err(_)) => break,
+                    (mail, event) => {
+                        mail.into_iter().for_each(|mail| self.take(mail));
+                        event.into_iter().for_each(|event| self.take_embedded(event));
+                    }
                 }
             }
         }
@@ -227,7 +326,9 @@
     fn advance(&mut self) {
         let now = self.now();
         if let Some(at) = self.live.due() {
-            self.outcome.behind = self.outcome.behind.max(now.saturating_sub(at));
+            let late = now.saturating_sub(at);
+            self.outcome.behind = self.outcome.behind.max(late);
+            self.late = self.late.max(late);
         }
         self.live.advance(now);
         while let Some(later) = self.later.advance_to(now) {
@@ -320,9 +421,14 @@
         for order in self.live.orders() {
             match order {
                 Order::Start(router) => self.start(router),
-                Order::Kill(router) => {
-                    self.processes[router] = None;
-                    self.clients[router].forget();
+                Order::Kill(router) => self.kill(router),
+                Order::SendOff(router) if self.embeds(router) => self.host(|host| host.leave(router)),
+                Order::Still(router, after) if self.embeds(router) => {
+                    self.host(|host| host.stand_still(router, after));
+                }
+                Order::Ask(ask) if self.embeds(ask.router) => {
+                    let offset = self.offset;
+                    self.host(|host| host.ask(ask, offset));
                 }
                 Order::SendOff(router) => self.processes[router].iter_mut().for_each(Process::send_off),
                 Order::Still(router, after) => {
@@ -332,11 +438,24 @@
                 Order::Ask(ask) => self.clients[ask.router].ask(self.plan, &ask, self.offset),
                 Order::Say(token, said) => {
                     let reset = said.outcome == Ended::Reset;
+                    if self.embedded_waits.contains_key(&token) {
+                        self.reply(token, if reset { Reply::Reset } else { Reply::Said(said) });
+                        continue;
+                    }
                     self.back(token, if reset { Back::Reset } else { Back::Say(said) });
                 }
+                Order::Probed(token, report) if self.embedded_waits.contains_key(&token) => {
+                    self.reply(token, Reply::Probed(report));
+                }
                 Order::Probed(token, report) => {
                     self.back(token, Back::Probed(report));
                 }
+                Order::Reset(router, member) if self.embeds(router) => {
+                    let hit = |(_, w): &(&u64, &Waits)| (w.router, w.member) == (router, member);
+                    let tokens: Vec<u64> =
+                        self.embedded_waits.iter().filter(hit).map(|(token, _)| *token).collect();
+                    tokens.into_iter().for_each(|token| self.reply(token, Reply::Reset));
+                }
                 Order::Reset(router, member) => {
                     let hit = |(link, _): &&(Link, u64)| (link.router, link.member) == (router, member);
                     for (link, _) in self.links.values().filter(hit) {
@@ -366,18 +485,107 @@
             (self.seed ^ (router as u64 + 1) << 20 ^ self.starts[router]).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         let (zone, ways) = (self.live.zone(router), &self.ways[router]);
         let config = config(self.plan, router, zone, ways, known, seed);
-        match self.program.start(&config, router, self.folder) {
+        if self.embeds(router) {
+            return self.host(|host| host.start(router, self.starts[router], &config));
+        }
+        match self.fleet.program.start(&config, router, self.folder) {
             Ok(process) => {
                 self.processes[router] = Some(process);
                 self.clients[router].await_ready(self.starts[router]);
             }
             Err(e) => {
-                eprintln!("process {router} of {} could not be started: {e}", self.program.path.display());
+                eprintln!(
+                    "process {router} of {} could not be started: {e}",
+                    self.fleet.program.path.display()
+                );
                 self.live.ended(router, false);
             }
         }
     }
 
+    fn kill(&mut self, router: usize) {
+        if !self.embeds(router) {
+            self.processes[router] = None;
+            return self.clients[router].forget();
+        }
+        self.host(|host| host.kill(router));
+        let (waits, live) = (&mut self.embedded_waits, &mut self.live);
+        waits.retain(|_, w| {
+            let over = w.router == router;
+            w.epoch.filter(|_| over).into_iter().for_each(|epoch| live.disconnects(w.member, epoch));
+            !over
+        });
+    }
+
+    // ---- Embedded routers ----
+
+    fn embeds(&self, router: usize) -> bool {
+        self.fleet.embeds(self.plan, router)
+    }
+
+    fn host(&self, order: impl FnOnce(&dyn Embedded)) {
+        if let Some((host, _)) = &self.fleet.embedded {
+            order(*host);
+        }
+    }
+
+    fn take_embedded(&mut self, from: FromRouter) {
+        let FromRouter { router, start, event } = from;
+        if start != self.starts[router] {
+            return;
+        }
+        match event {
+            Event::Ready => self.live.ready(router),
+            Event::Ended => {
+                self.kill(router);
+                self.live.ended(router, true);
+            }
+            Event::Attempt { request, token, member } => self.attempt(router, request, token, member),
+            Event::Probe { token, member } => {
+                self.embedded_waits.insert(token, Waits { router, member, epoch: None, request: None });
+                self.live.probes(token, router, member);
+            }
+            Event::GaveUp { request, token } => {
+                let Some(waits) = self.embedded_waits.remove(&token) else { return };
+                waits.epoch.into_iter().for_each(|epoch| self.live.disconnects(waits.member, epoch));
+                request.into_iter().for_each(|request| self.live.left(request, token, router));
+            }
+            Event::Answered { request, answer } => self.live.answered(request, router, answer),
+        }
+        self.obey();
+    }
+
+    fn attempt(&mut self, router: usize, request: RequestId, token: u64, member: usize) {
+        self.outcome.came[member] += 1;
+        let waits = |epoch| Waits { router, member, epoch, request: Some(request) };
+        match self.live.connects(router, member) {
+            Welcome::After(_, epoch) => {
+                self.embedded_waits.insert(token, waits(Some(epoch)));
+                // Idle connections are kept in service: what a new one costs a member is not played.
+                self.live.came(request, token, (router, member), epoch, false);
+            }
+            Welcome::Refused(_) => self.host(|host| host.reply(router, token, Reply::Unreachable)),
+            Welcome::Silence => drop(self.embedded_waits.insert(token, waits(None))),
+        }
+    }
+
+    /// A member replies to an embedded router.
+    fn reply(&mut self, token: u64, reply: Reply) {
+        let Some(waits) = self.embedded_waits.remove(&token) else { return };
+        waits.epoch.into_iter().for_each(|epoch| self.live.disconnects(waits.member, epoch));
+        if let (Reply::Reset, Some(request)) = (&reply, waits.request) {
+            self.live.left(request, token, waits.router);
+        }
+        self.host(|host| host.reply(waits.router, token, reply));
+    }
+
+    fn report(&mut self) {
+        let seconds = self.began.elapsed().as_secs_f64();
+        let of = (self.plan.length + TAIL) as f64 / SECOND as f64;
+        let late = Duration::from_micros(std::mem::take(&mut self.late));
+        (self.fleet.progress)(Progress { seconds, of, late });
+    }
+
     /// Looks for processes that ended by themselves.
     fn watch(&mut self) {
         for router in 0..self.processes.len() {
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -78,6 +78,13 @@
         self.signal(Signal::CONT);
     }
 
+    /// Its resident memory in kilobytes, where the system tells it.
+    pub fn resident_kb(&self) -> Option<f64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let kilobytes = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        kilobytes.trim().strip_suffix(" kB")?.trim().parse().ok()
+    }
+
     /// Its end, if it has ended.
     pub fn ended(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().ok().flatten()
