--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -4,8 +4,8 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
 use beaconshore::interface::{
-    Action, Ended, Entry, Event, GroupId, ListKind, Listed, MemberId, Note, Outcome, Report, Request,
-    RequestId, Role, SessionId, Word, ZoneId,
+    Action, Ended, Entry, Event, GroupId, ListKind, Listed, MemberId, MemberUpdate, Note, Outcome, Report,
+    Request, RequestId, Role, SessionId, ZoneId,
 };
 use beaconshore::Router;
 use beaconshore_settings::{Dialect, ReportField, Site};
@@ -204,7 +204,7 @@
         code::DATAGRAM => {
             let _from = r.u32()?;
             let length = r.u16()? as usize;
-            Event::Told(words(r.take(length)?, dialect))
+            Event::PeerUpdates(words(r.take(length)?, dialect))
         }
         _ => return Err("no such event".to_string()),
     }))
@@ -242,12 +242,12 @@
 
 /// A message between routers: for each member its id and a note, as answers carry it. What is left over at
 /// the end of one is passed over.
-fn words(bytes: &[u8], dialect: &Dialect) -> Vec<Word> {
+fn words(bytes: &[u8], dialect: &Dialect) -> Vec<MemberUpdate> {
     let mut r = Reader::new(bytes);
     let mut words = Vec::new();
     while let (Ok(member), Ok(raw)) = (r.u32(), r.u32()) {
         let note = note(raw, dialect);
-        words.extend(note.position.map(|position| Word {
+        words.extend(note.position.map(|position| MemberUpdate {
             member: MemberId(member),
             position,
             role: note.role,
@@ -257,7 +257,7 @@
 }
 
 /// The note that says this of a member, rounded down to milliseconds.
-fn note_of(word: &Word, dialect: &Dialect) -> u32 {
+fn note_of(word: &MemberUpdate, dialect: &Dialect) -> u32 {
     let ms = word.position.saturating_sub(dialect.zero) / 1000;
     let role = match word.role {
         Some(Role::Primary) => 1,
@@ -316,7 +316,7 @@
         Action::CloseIdle(member) => {
             reply.record(code::DROP_CONNS, &[&driver_bytes, &member.0.to_le_bytes()]);
         }
-        Action::Tell(words) => words.chunks(MESSAGE_WORDS).for_each(|chunk| {
+        Action::TellPeers(words) => words.chunks(MESSAGE_WORDS).for_each(|chunk| {
             let data: Vec<u8> = chunk
                 .iter()
                 .flat_map(|w| [w.member.0.to_le_bytes(), note_of(w, dialect).to_le_bytes()].concat())
@@ -329,7 +329,7 @@
             reply.record(code::SCHEDULE, &[&driver_bytes, &micros(*after), &0u32.to_le_bytes()]);
         }
         // There, members stay known, and no planner runs.
-        Action::Forget(_) | Action::Talk(_) => {}
+        Action::Forget(_) | Action::SpillLoans(_) => {}
         Action::Subscribe => reply.record(code::FOLLOW, &[&driver_bytes, &[1]]),
         Action::Log(text) => text_record(reply, code::PRINT, driver, text),
     }
--- a/crates/benchlink/src/host/tests.rs
+++ b/crates/benchlink/src/host/tests.rs
@@ -222,11 +222,14 @@
 #[test]
 fn words_of_a_message_are_written_and_read_again() {
     let dialect = dialect();
-    let word =
-        |member, ms: u64, role| Word { member: MemberId(member), position: dialect.zero + ms * 1000, role };
+    let word = |member, ms: u64, role| MemberUpdate {
+        member: MemberId(member),
+        position: dialect.zero + ms * 1000,
+        role,
+    };
     let sent = [word(7, 42_000, Some(Role::Primary)), word(9, 41_999, Some(Role::Replica)), word(8, 1, None)];
     let mut reply = Reply::new(1);
-    write(DRIVER, &Action::Tell(sent.to_vec()), &dialect, &mut reply);
+    write(DRIVER, &Action::TellPeers(sent.to_vec()), &dialect, &mut reply);
     let posts = records(&reply.finish());
     let (code, fields) = &posts[0];
     assert_eq!((*code, posts.len(), fields.len()), (code::POST, 1, 4 + 2 + 2 + 3 * 8));
@@ -234,6 +237,6 @@
     assert_eq!(words(&fields[8..fields.len() - 1], &dialect), sent[..2], "a cut word is passed over");
     let many = vec![sent[0].clone(); 40];
     let mut reply = Reply::new(1);
-    write(DRIVER, &Action::Tell(many), &dialect, &mut reply);
+    write(DRIVER, &Action::TellPeers(many), &dialect, &mut reply);
     assert!(records(&reply.finish()).iter().all(|(_, fields)| fields.len() <= 8 + 256));
 }
--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -156,7 +156,7 @@
     let digits = value.unsigned_abs().to_string();
     let mut text = String::new();
     for (index, digit) in digits.chars().enumerate() {
-        if index > 0 && (digits.len() - index) % 3 == 0 {
+        if index > 0 && (digits.len() - index).is_multiple_of(3) {
             text.push(',');
         }
         text.push(digit);
@@ -222,7 +222,7 @@
         (Cost::ListBytes | Cost::ListCalls | Cost::ListTime, _) => {
             "watch, and a whole list every 2 s (`crates/driver/src/discovery`); deltas with digests are missing"
         }
-        (Cost::Probes, _) => "probes on demand, divided over the fleet (`src/policy/scouting.rs`)",
+        (Cost::Probes, _) => "probes on demand, divided over the fleet (`src/policy/probe_share.rs`)",
         (Cost::TimerTime, _) => "a walk over busy groups every 10 ms (`Router::pump_busy`); an index of due work is missing",
         (Cost::Memory, _) => "tables by member and peer (`src/records.rs`, `crates/driver`)",
         (Cost::DecisionTime, _) => "members of the request's group (`Router::choose`), and the timer's walk",
--- a/crates/driver/src/client/message.rs
+++ b/crates/driver/src/client/message.rs
@@ -41,16 +41,16 @@
 /// Whether a request's client still waits for it: shared by all that work on the request, so that its departure is
 /// seen right before each byte, however full the mailboxes are.
 #[derive(Clone, Debug, Default)]
-pub struct Wanted(Rc<Cell<bool>>);
+pub struct CancelFlag(Rc<Cell<bool>>);
 
-impl Wanted {
+impl CancelFlag {
     /// The client has gone.
-    pub fn withdraw(&self) {
+    pub fn cancel(&self) {
         self.0.set(true);
     }
 
     /// Whether nobody waits any more.
-    pub fn is_withdrawn(&self) -> bool {
+    pub fn is_cancelled(&self) -> bool {
         self.0.get()
     }
 }
--- a/crates/driver/src/client/mod.rs
+++ b/crates/driver/src/client/mod.rs
@@ -30,7 +30,7 @@
 use connection::{
     Connection, Fault, Left, Look, Phase, Reading, Room, Todo, Wait, DEPARTURE_CHECK, MAX_OPEN,
 };
-pub use message::{Answer, ClientMail, Served, Wanted};
+pub use message::{Answer, CancelFlag, ClientMail, Served};
 
 /// Messages that are looked at in a row before others get their turn.
 const TURN: usize = 16;
@@ -193,8 +193,9 @@
                     Ok(arrival) => {
                         // A large one keeps its place until it is answered.
                         let large = self.buffer.consume(length);
-                        let (id, name, wanted) = (arrival.id, arrival.name.clone(), arrival.wanted.clone());
-                        self.connection.took(id, name, wanted, large, now);
+                        let (id, name, cancel_flag) =
+                            (arrival.id, arrival.name.clone(), arrival.cancel_flag.clone());
+                        self.connection.took(id, name, cancel_flag, large, now);
                         self.clients.node.stats.count(Counter::Requests);
                         self.clients.module.send(Mail::Request(Box::new(arrival)));
                     }
@@ -259,7 +260,7 @@
             repeat: text.repeat,
             after: text.after,
             statement: Rc::new(Statement { text: query.into(), wait_at: text.wait_at }),
-            wanted: Wanted::default(),
+            cancel_flag: CancelFlag::default(),
             client: self.sender.clone(),
             login: self.login.clone(),
         })
@@ -365,7 +366,7 @@
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
         let node = &self.clients.node;
-        self.read_at = node.pulse.came(node.clock.now());
+        self.read_at = node.stalls.came(node.clock.now());
         let was_empty = self.buffer.filled().len() == count;
         if discards {
             self.buffer = Buffer::default();
--- a/crates/driver/src/config.rs
+++ b/crates/driver/src/config.rs
@@ -135,7 +135,7 @@
         let mut plans = Plans { classes: dialect.classes.clone(), ..Plans::default() };
         let mut problems = Vec::new();
         if let Some(zones) = &operator.zones {
-            // Drivers are numbered as in the list of peers; one that is not in it, or may not talk, lends nothing.
+            // Drivers are numbered as in the list of peers; one that is not in it, or may not loan, lends nothing.
             let number = self.peers.iter().position(|peer| Some(*peer) == self.peer_listen);
             let number = number.filter(|_| settings.limits.peer_messages).map(|n| n as u32);
             match beaconshore_operator::zones(file, text, zones, &dialect.zones) {
--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -22,10 +22,10 @@
 pub mod module;
 pub mod peers;
 pub mod pg;
-pub mod pulse;
 pub mod shutdown;
 pub mod signals;
 pub mod skew;
+pub mod stall;
 pub mod stats;
 
 use std::cell::Cell;
@@ -53,8 +53,8 @@
 use member::SocketTransport;
 use meter::Meter;
 use module::{Mail, ModuleHandle};
-use pulse::Pulse;
 use skew::Skew;
+use stall::StallDetector;
 use stats::{Counter, Stats};
 
 /// Connections that may wait to be accepted; the system may hold fewer.
@@ -72,7 +72,7 @@
     skew: Skew,
     stats: Stats,
     meter: Meter,
-    pulse: Pulse,
+    stalls: StallDetector,
     requests: Cell<u64>,
     /// Lists and changes that the module took in: who acts on a decision can tell whether it is older than one.
     lists: Cell<u64>,
@@ -111,7 +111,7 @@
             skew: Skew::default(),
             stats: Stats::default(),
             meter: Meter::new(config.accounting),
-            pulse: Pulse::default(),
+            stalls: StallDetector::default(),
             requests: Cell::new(0),
             lists: Cell::new(0),
         }
--- a/crates/driver/src/member/connection.rs
+++ b/crates/driver/src/member/connection.rs
@@ -71,7 +71,7 @@
     let mut departure = Departure::new(attempt.sent, attempt.lists, attempt.ends, idle.is_some());
     let (mut connection, mut query, mut written) = (idle, Vec::new(), 0);
     loop {
-        let (lists, withdrawn) = (node.lists.get(), attempt.wanted.is_withdrawn());
+        let (lists, withdrawn) = (node.lists.get(), attempt.cancel_flag.is_cancelled());
         let present = Present { now: node.clock.now(), lists, withdrawn };
         let step = departure.next(present);
         match (step, &mut connection) {
--- a/crates/driver/src/member/mod.rs
+++ b/crates/driver/src/member/mod.rs
@@ -17,7 +17,7 @@
 use async_executor::Task;
 use beaconshore::interface::{MemberId, Micros, Outcome, Report, RequestId};
 
-use crate::client::{Served, Wanted};
+use crate::client::{CancelFlag, Served};
 use crate::clock::until;
 use crate::control::MemberTransport;
 use crate::descriptors::{Rank, Rest};
@@ -64,7 +64,7 @@
     /// On how many lists.
     pub lists: u64,
     /// Whether its client still waits.
-    pub wanted: Wanted,
+    pub cancel_flag: CancelFlag,
 }
 
 /// The end of an attempt.
--- a/crates/driver/src/module/mail.rs
+++ b/crates/driver/src/module/mail.rs
@@ -9,7 +9,7 @@
 use async_channel::Sender;
 use beaconshore::interface::{MemberId, Micros, Outcome, Report, RequestId, SessionId};
 
-use crate::client::{ClientMail, Wanted};
+use crate::client::{CancelFlag, ClientMail};
 use crate::listing::Listing;
 use crate::member::AttemptEnd;
 use crate::peers::PeerMessage;
@@ -76,7 +76,7 @@
     /// What a member is to be sent.
     pub statement: Rc<Statement>,
     /// Whether its client still waits.
-    pub wanted: Wanted,
+    pub cancel_flag: CancelFlag,
     /// Where the answer goes.
     pub client: Sender<ClientMail>,
     /// Who asks.
--- a/crates/driver/src/module/mod.rs
+++ b/crates/driver/src/module/mod.rs
@@ -13,8 +13,8 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use beaconshore::interface::{
-    Action, Ended, Entry, Event, GroupId, ListKind, Listed, MemberId, Micros, Outcome, Request, RequestId,
-    Role, Talk, Word, ZoneId,
+    Action, Ended, Entry, Event, GroupId, ListKind, Listed, MemberId, MemberUpdate, Micros, Outcome, Request,
+    RequestId, Role, SpillLoan, ZoneId,
 };
 use beaconshore_steering::{Connection, Steering};
 use futures_lite::future;
@@ -151,7 +151,7 @@
                 }
                 Ok(Next::Timer) => {
                     (self.due, set) = (None, None);
-                    if self.node.pulse.beat(self.node.clock.now()) {
+                    if self.node.stalls.beat(self.node.clock.now()) {
                         self.node.stats.count(Counter::Standstills);
                     }
                     node.meter.measure(Work::Timer, || {
@@ -186,12 +186,12 @@
     fn on_peer(&mut self, from: u32, mail: PeerMessage) {
         match mail {
             PeerMessage::MemberStates(words) => {
-                let words: Vec<Word> = words.iter().filter_map(|w| self.word(w)).collect();
-                self.handle(&Event::Told(words));
+                let words: Vec<MemberUpdate> = words.iter().filter_map(|w| self.word(w)).collect();
+                self.handle(&Event::PeerUpdates(words));
             }
-            PeerMessage::Loans(mut talks) => {
-                talks.iter_mut().for_each(|talk| talk.until = self.node.skew.ours(talk.until));
-                self.handle(&Event::Talk(from, talks));
+            PeerMessage::Loans(mut loans) => {
+                loans.iter_mut().for_each(|loan| loan.until = self.node.skew.ours(loan.until));
+                self.handle(&Event::SpillLoans(from, loans));
             }
             // Compared by the peers' actor.
             PeerMessage::Digest(_) => {}
@@ -248,9 +248,9 @@
 
     fn on_request(&mut self, arrival: Arrival) {
         let now = self.node.clock.now();
-        let Arrival { id, class, session, ends, repeat, statement, client, login, wanted, .. } = arrival;
+        let Arrival { id, class, session, ends, repeat, statement, client, login, cancel_flag, .. } = arrival;
         let text = self.router.is_routed().then(|| statement.clone());
-        match self.open.arrive(id, client, statement, ends, wanted) {
+        match self.open.arrive(id, client, statement, ends, cancel_flag) {
             Arrived::Taken => {}
             Arrived::Left => return self.node.stats.count(Counter::HungUp),
             Arrived::Twice => self.node.stats.check(false, "a request is taken once"),
@@ -333,9 +333,9 @@
     }
 
     /// What a peer said, if it is plain of which member.
-    fn word(&self, word: &MemberState) -> Option<Word> {
+    fn word(&self, word: &MemberState) -> Option<MemberUpdate> {
         let [member] = self.tags.get(&word.member)?[..] else { return None };
-        Some(Word { member, position: self.node.skew.ours(word.position), role: word.role })
+        Some(MemberUpdate { member, position: self.node.skew.ours(word.position), role: word.role })
     }
 
     // ---- Actions to messages ----
@@ -358,11 +358,11 @@
             Action::CloseIdle(member) => self.mail_member(member, MemberMail::CloseIdle),
             Action::Probe(member) => self.mail_member(member, MemberMail::Probe),
             Action::Forget(member) => self.forget(member),
-            Action::Tell(words) => self.tell(&words),
-            Action::Talk(talks) => self.talk(talks),
+            Action::TellPeers(words) => self.tell(&words),
+            Action::SpillLoans(loans) => self.send_loans(loans),
             Action::SetTimer(after) => {
                 self.due = Some(self.node.clock.instant(now + after));
-                self.node.pulse.expect(now, now + after);
+                self.node.stalls.expect(now, now + after);
             }
             // The watch is always on.
             Action::Subscribe => {}
@@ -375,8 +375,9 @@
             return self.node.stats.check(false, "what is sent is open");
         };
         self.node.stats.check(sending.alone, "a request has one attempt out");
-        let Sending { statement, ends, wanted, .. } = sending;
-        let attempt = Attempt { request, statement, ends, sent: now, lists: self.node.lists.get(), wanted };
+        let Sending { statement, ends, cancel_flag, .. } = sending;
+        let attempt =
+            Attempt { request, statement, ends, sent: now, lists: self.node.lists.get(), cancel_flag };
         self.mail_member(member, MemberMail::Attempt(attempt));
     }
 
@@ -417,11 +418,11 @@
         known.actor.iter().for_each(|actor| drop(actor.try_send(MemberMail::End)));
     }
 
-    fn tell(&mut self, words: &[Word]) {
+    fn tell(&mut self, words: &[MemberUpdate]) {
         let Some(peers) = &self.peers else { return };
         let named = words.iter().filter_map(|w| Some((w, self.members.get(&w.member)?)));
         // Drivers tell each other the members' time: their own clocks may differ.
-        let theirs = |w: &Word| self.node.skew.theirs(w.position);
+        let theirs = |w: &MemberUpdate| self.node.skew.theirs(w.position);
         let words =
             named.map(|(w, known)| MemberState { member: known.tag, position: theirs(w), role: w.role });
         let message = PeerMessage::MemberStates(words.collect());
@@ -430,14 +431,14 @@
         }
     }
 
-    fn talk(&mut self, mut talks: Vec<Talk>) {
+    fn send_loans(&mut self, mut loans: Vec<SpillLoan>) {
         let Some(peers) = &self.peers else { return };
-        talks.iter_mut().for_each(|talk| talk.until = self.node.skew.theirs(talk.until));
+        loans.iter_mut().for_each(|loan| loan.until = self.node.skew.theirs(loan.until));
         // What is lent goes to its borrower only.
-        let mut by_driver: BTreeMap<Option<u32>, Vec<Talk>> = BTreeMap::new();
-        talks.into_iter().for_each(|talk| by_driver.entry(talk.to).or_default().push(talk));
-        for (to, talks) in by_driver {
-            let message = PeerMessage::Loans(talks);
+        let mut by_driver: BTreeMap<Option<u32>, Vec<SpillLoan>> = BTreeMap::new();
+        loans.into_iter().for_each(|loan| by_driver.entry(loan.to).or_default().push(loan));
+        for (to, loans) in by_driver {
+            let message = PeerMessage::Loans(loans);
             if peers.try_send(Outgoing { to, message }).is_err() {
                 self.node.stats.count(Counter::Dropped);
             }
--- a/crates/driver/src/module/requests.rs
+++ b/crates/driver/src/module/requests.rs
@@ -10,7 +10,7 @@
 use beaconshore::interface::{MemberId, Micros, RequestId};
 
 use super::mail::Statement;
-use crate::client::Wanted;
+use crate::client::CancelFlag;
 
 /// An answer owed for this long after its time is overdue.
 const OVERDUE: Micros = 20_000;
@@ -24,7 +24,7 @@
     /// When its client gives up.
     pub ends: Micros,
     /// Whether its client still waits.
-    pub wanted: Wanted,
+    pub cancel_flag: CancelFlag,
     /// Whether any attempt was made.
     pub tried: bool,
     /// Where the attempt is that is out.
@@ -49,7 +49,7 @@
     /// When its time is over.
     pub ends: Micros,
     /// Whether its client still waits.
-    pub wanted: Wanted,
+    pub cancel_flag: CancelFlag,
     /// Whether none was out: else this is a fault of this program.
     pub alone: bool,
 }
@@ -73,12 +73,12 @@
         client: C,
         statement: Rc<Statement>,
         ends: Micros,
-        wanted: Wanted,
+        cancel_flag: CancelFlag,
     ) -> Arrived {
-        if wanted.is_withdrawn() {
+        if cancel_flag.is_cancelled() {
             return Arrived::Left;
         }
-        match self.open.insert(id, Open { client, statement, ends, wanted, tried: false, out: None }) {
+        match self.open.insert(id, Open { client, statement, ends, cancel_flag, tried: false, out: None }) {
             None => Arrived::Taken,
             Some(_) => Arrived::Twice,
         }
@@ -95,7 +95,12 @@
         let alone = open.out.replace(to).is_none();
         open.tried = true;
         let ends = if wait == 0 { open.ends } else { open.ends.min(now + wait) };
-        Some(Sending { statement: open.statement.clone(), ends, wanted: open.wanted.clone(), alone })
+        Some(Sending {
+            statement: open.statement.clone(),
+            ends,
+            cancel_flag: open.cancel_flag.clone(),
+            alone,
+        })
     }
 
     /// Its attempt at this member is off the wire; whether it was out there, or the request is not open any more.
@@ -110,7 +115,7 @@
 
     /// Whether an attempt of it may still go out, as far as its client goes.
     pub fn is_wanted(&self, id: RequestId) -> bool {
-        self.open.get(&id).is_some_and(|open| !open.wanted.is_withdrawn())
+        self.open.get(&id).is_some_and(|open| !open.cancel_flag.is_cancelled())
     }
 
     /// Whether it has not got its final answer, and its client has not left.
--- a/crates/driver/src/peers/message.rs
+++ b/crates/driver/src/peers/message.rs
@@ -6,7 +6,7 @@
 //! milliseconds after the base it ends. One of a digest holds a third version and a sum of 4 bytes for each bucket. What does
 //! not read as such is dropped whole.
 
-use beaconshore::interface::{Micros, Role, Talk, ZoneId};
+use beaconshore::interface::{Micros, Role, SpillLoan, ZoneId};
 use beaconshore_gossip::{Digest, MemberState, MemberTag, BUCKETS};
 
 /// Longest datagram.
@@ -26,7 +26,7 @@
     /// What members said of themselves.
     MemberStates(Vec<MemberState>),
     /// What planners lend each other of the limits that they share.
-    Loans(Vec<Talk>),
+    Loans(Vec<SpillLoan>),
     /// A digest of the roles that the sender knows.
     Digest(Digest),
 }
@@ -126,9 +126,9 @@
     states.chunks_exact(STATE).map(read).collect()
 }
 
-fn encode_loans(loans: &[Talk]) -> Vec<Vec<u8>> {
+fn encode_loans(loans: &[SpillLoan]) -> Vec<Vec<u8>> {
     let base = loans.iter().map(|l| l.until / 1000).min().unwrap_or(0);
-    let datagram = |loans: &[Talk]| {
+    let datagram = |loans: &[SpillLoan]| {
         let mut bytes = header(LOANS_VERSION, base);
         for loan in loans {
             let to = loan.to.and_then(|to| u16::try_from(to).ok()).unwrap_or(NOBODY);
@@ -142,12 +142,12 @@
         bytes
     };
     // What is lent to a driver whose number does not fit would read as an ask.
-    let fits = |l: &&Talk| l.to.is_none_or(|to| to < u32::from(NOBODY));
-    let loans: Vec<Talk> = loans.iter().filter(fits).cloned().collect();
+    let fits = |l: &&SpillLoan| l.to.is_none_or(|to| to < u32::from(NOBODY));
+    let loans: Vec<SpillLoan> = loans.iter().filter(fits).cloned().collect();
     loans.chunks((MAX_DATAGRAM - HEADER) / LOAN).map(datagram).collect()
 }
 
-fn decode_loans(rest: &[u8]) -> Option<Vec<Talk>> {
+fn decode_loans(rest: &[u8]) -> Option<Vec<SpillLoan>> {
     let (base, loans) = base_of(rest)?;
     if loans.len() % LOAN != 0 {
         return None;
@@ -157,7 +157,7 @@
         let long = |at: usize| Some(u32::from_be_bytes(*loan.get(at..)?.first_chunk()?));
         let to = Some(short(2)?).filter(|to| *to != NOBODY).map(u32::from);
         let until = base.checked_add(Micros::from(long(8)?))?.checked_mul(1000)?;
-        Some(Talk { zone: ZoneId(short(0)?), to, work: f64::from(long(4)?), until })
+        Some(SpillLoan { zone: ZoneId(short(0)?), to, work: f64::from(long(4)?), until })
     };
     loans.chunks_exact(LOAN).map(read).collect()
 }
--- a/crates/driver/src/pulse.rs
+++ b/crates/driver/src/stall.rs
@@ -14,14 +14,14 @@
 
 /// Watches how late the module's timer is.
 #[derive(Debug, Default)]
-pub struct Pulse {
+pub struct StallDetector {
     /// When the timer was set, and when it is due.
     timer: Cell<Option<Stretch>>,
     /// When the driver stood still last, at the longest.
     stood: Cell<Option<Stretch>>,
 }
 
-impl Pulse {
+impl StallDetector {
     /// The timer is set.
     pub fn expect(&self, now: Micros, due: Micros) {
         self.timer.set(Some((now, due)));
@@ -53,23 +53,23 @@
 
     #[test]
     fn while_the_timer_is_on_time_what_is_read_has_just_come() {
-        let pulse = Pulse::default();
-        assert_eq!(pulse.came(5), 5);
-        pulse.expect(990_000, 1_000_000);
-        assert_eq!(pulse.came(1_000_000 + LATE), 1_000_000 + LATE);
-        assert!(!pulse.beat(1_000_000 + LATE));
-        pulse.expect(1_000_000 + LATE, 1_010_000 + LATE);
-        assert_eq!(pulse.came(1_000_000 + LATE), 1_000_000 + LATE);
+        let stalls = StallDetector::default();
+        assert_eq!(stalls.came(5), 5);
+        stalls.expect(990_000, 1_000_000);
+        assert_eq!(stalls.came(1_000_000 + LATE), 1_000_000 + LATE);
+        assert!(!stalls.beat(1_000_000 + LATE));
+        stalls.expect(1_000_000 + LATE, 1_010_000 + LATE);
+        assert_eq!(stalls.came(1_000_000 + LATE), 1_000_000 + LATE);
     }
 
     #[test]
     fn after_a_standstill_what_is_read_may_have_come_since_its_start() {
-        let pulse = Pulse::default();
-        pulse.expect(990_000, 1_000_000);
-        assert_eq!(pulse.came(1_700_000), 990_000, "read before the timer goes off");
-        assert!(pulse.beat(1_700_100));
-        pulse.expect(1_700_100, 1_710_100);
-        assert_eq!(pulse.came(1_700_200), 990_000, "read right after it");
-        assert_eq!(pulse.came(1_706_000), 1_706_000, "what comes later is new");
+        let stalls = StallDetector::default();
+        stalls.expect(990_000, 1_000_000);
+        assert_eq!(stalls.came(1_700_000), 990_000, "read before the timer goes off");
+        assert!(stalls.beat(1_700_100));
+        stalls.expect(1_700_100, 1_710_100);
+        assert_eq!(stalls.came(1_700_200), 990_000, "read right after it");
+        assert_eq!(stalls.came(1_706_000), 1_706_000, "what comes later is new");
     }
 }
--- a/crates/driver/tests/explore_connection.rs
+++ b/crates/driver/tests/explore_connection.rs
@@ -9,7 +9,7 @@
 use beaconshore_driver::client::connection::{
     Connection, Look, Phase, Reading, Todo, DEPARTURE_CHECK, LINGER, LINGER_BYTES, MAX_OPEN, WRITE_WAIT,
 };
-use beaconshore_driver::client::{Answer, Served, Wanted};
+use beaconshore_driver::client::{Answer, CancelFlag, Served};
 use beaconshore_driver::pg;
 use beaconshore_rig::wire::{put, query, startup};
 
@@ -60,7 +60,7 @@
     blocked: bool,
     /// Open requests: of the connection, and of the decision module.
     open: Vec<RequestId>,
-    wanted: Vec<(RequestId, Wanted)>,
+    cancel_flag: Vec<(RequestId, CancelFlag)>,
     next_id: u64,
     seen: Seen,
     wait_until: Option<Instant>,
@@ -78,7 +78,7 @@
             fin: false,
             blocked: false,
             open: Vec::new(),
-            wanted: Vec::new(),
+            cancel_flag: Vec::new(),
             next_id: 0,
             seen: Seen::default(),
             wait_until: None,
@@ -89,8 +89,8 @@
         for left in left {
             self.seen.left += 1;
             self.open.retain(|id| *id != left.id);
-            let wanted = self.wanted.iter().find(|(id, _)| *id == left.id).unwrap();
-            assert!(wanted.1.is_withdrawn(), "whoever works on it sees at once that it is left");
+            let cancel_flag = self.cancel_flag.iter().find(|(id, _)| *id == left.id).unwrap();
+            assert!(cancel_flag.1.is_cancelled(), "whoever works on it sees at once that it is left");
         }
     }
 
@@ -169,11 +169,11 @@
                     assert!(!self.seen.departed, "nothing is taken from a client that has gone");
                     self.buffer.drain(..length);
                     self.next_id += 1;
-                    let (id, wanted) = (RequestId(self.next_id), Wanted::default());
+                    let (id, cancel_flag) = (RequestId(self.next_id), CancelFlag::default());
                     self.open.push(id);
-                    self.wanted.push((id, wanted.clone()));
+                    self.cancel_flag.push((id, cancel_flag.clone()));
                     self.seen.taken += 1;
-                    self.connection.took(id, Rc::from(&b"x"[..]), wanted, None, self.now);
+                    self.connection.took(id, Rc::from(&b"x"[..]), cancel_flag, None, self.now);
                 }
             }
         }
--- a/crates/driver/tests/explore_life.rs
+++ b/crates/driver/tests/explore_life.rs
@@ -9,7 +9,7 @@
 use beaconshore::interface::*;
 use beaconshore::Router;
 use beaconshore_driver::client::connection::{Connection, Look, Phase, Reading, Todo};
-use beaconshore_driver::client::{Answer, Served, Wanted};
+use beaconshore_driver::client::{Answer, CancelFlag, Served};
 use beaconshore_driver::member::attempt::{Departure, Next, Present};
 use beaconshore_driver::module::requests::{Arrived, Requests};
 use beaconshore_driver::module::Statement;
@@ -73,7 +73,7 @@
 const TURNS: [Turn; 4] = [Turn::Nobody, Turn::Client, Turn::Module, Turn::Attempts];
 
 enum Mail {
-    Request(RequestId, usize, Wanted),
+    Request(RequestId, usize, CancelFlag),
     HungUp(RequestId),
     Ended(RequestId, MemberId, Outcome, bool),
     Confirm(RequestId, MemberId),
@@ -91,7 +91,7 @@
     member: MemberId,
     departure: Departure,
     ends: Micros,
-    wanted: Wanted,
+    cancel_flag: CancelFlag,
     state: State,
 }
 
@@ -217,10 +217,10 @@
                     let class = CLASSES.iter().position(|c| text.contains(&format!("c={c},"))).unwrap();
                     self.buffer.drain(..length);
                     self.ids += 1;
-                    let (id, wanted) = (RequestId(self.ids), Wanted::default());
-                    self.connection.took(id, Rc::from(text.as_bytes()), wanted.clone(), None, now);
+                    let (id, cancel_flag) = (RequestId(self.ids), CancelFlag::default());
+                    self.connection.took(id, Rc::from(text.as_bytes()), cancel_flag.clone(), None, now);
                     self.taken.insert(id, class);
-                    self.mail.push_back(Mail::Request(id, class, wanted));
+                    self.mail.push_back(Mail::Request(id, class, cancel_flag));
                     continue;
                 }
                 Look::Cancel(..) => unreachable!("nobody cancels here"),
@@ -269,11 +269,11 @@
             }
             match self.mail.pop_front() {
                 None => return self.handle(beaconshore::interface::Event::Timer),
-                Some(Mail::Request(id, class, wanted)) => {
+                Some(Mail::Request(id, class, cancel_flag)) => {
                     let budget = settings().classes[class].deadline;
                     let statement = Statement { text: Box::default(), wait_at: 0..0 };
                     let ends = self.now + budget;
-                    if self.open.arrive(id, (), Rc::new(statement), ends, wanted) == Arrived::Left {
+                    if self.open.arrive(id, (), Rc::new(statement), ends, cancel_flag) == Arrived::Left {
                         continue;
                     }
                     let (group, session, repeat, last_write_ago) = (GroupId(0), None, false, None);
@@ -332,8 +332,8 @@
                     let sending = self.open.send(request, member, wait, self.now).expect("it is open");
                     assert!(sending.alone, "a request has one attempt out");
                     let departure = Departure::new(self.now, self.taken_in, sending.ends, self.connected);
-                    let (ends, wanted, state) = (sending.ends, sending.wanted, State::Leaving);
-                    let attempt = Attempt { member, departure, ends, wanted, state };
+                    let (ends, cancel_flag, state) = (sending.ends, sending.cancel_flag, State::Leaving);
+                    let attempt = Attempt { member, departure, ends, cancel_flag, state };
                     assert!(self.attempts.insert(request, attempt).is_none(), "one at a time");
                 }
                 Action::Refuse { request, .. } => self.answer(request, Answer::Refused(0)),
@@ -360,7 +360,7 @@
                 if attempt.state != State::Leaving {
                     break;
                 }
-                let (lists, withdrawn) = (self.taken_in, attempt.wanted.is_withdrawn());
+                let (lists, withdrawn) = (self.taken_in, attempt.cancel_flag.is_cancelled());
                 match attempt.departure.next(Present { now: self.now, lists, withdrawn }) {
                     Next::Connect => attempt.departure.connected(),
                     Next::Ask => {
--- a/crates/driver/tests/parsers.rs
+++ b/crates/driver/tests/parsers.rs
@@ -1,6 +1,6 @@
 //! The parsers, without sockets: every split, bounds, junk.
 
-use beaconshore::interface::{Role, Talk, ZoneId};
+use beaconshore::interface::{Role, SpillLoan, ZoneId};
 use beaconshore_driver::config::Config;
 use beaconshore_driver::listing::{Lifecycle, Listing};
 use beaconshore_driver::peers::PeerMessage;
@@ -360,21 +360,21 @@
 
 #[test]
 fn talks_of_planners_come_through_datagrams_as_they_were() {
-    let talk = |to, work, until| Talk { zone: ZoneId(2), to, work, until };
+    let loan = |to, work, until| SpillLoan { zone: ZoneId(2), to, work, until };
     let base = 1_767_225_600_123_000;
-    let talks: Vec<Talk> = (0..50)
-        .map(|i| talk((i % 3 > 0).then_some(i), f64::from(i) * 1000.0, base + 7_000 * u64::from(i)))
+    let loans: Vec<SpillLoan> = (0..50)
+        .map(|i| loan((i % 3 > 0).then_some(i), f64::from(i) * 1000.0, base + 7_000 * u64::from(i)))
         .collect();
-    let datagrams = PeerMessage::Loans(talks.clone()).encode();
+    let datagrams = PeerMessage::Loans(loans.clone()).encode();
     assert!(datagrams.iter().all(|d| d.len() <= 256) && datagrams.len() == 3);
     let read = |d: &Vec<u8>| match PeerMessage::decode(d) {
-        Some(PeerMessage::Loans(talks)) => talks,
+        Some(PeerMessage::Loans(loans)) => loans,
         other => panic!("{other:?}"),
     };
-    assert_eq!(datagrams.iter().flat_map(read).collect::<Vec<_>>(), talks);
-    // Half a talk, and one to a driver whose number does not fit.
+    assert_eq!(datagrams.iter().flat_map(read).collect::<Vec<_>>(), loans);
+    // Half a loan, and one to a driver whose number does not fit.
     assert_eq!(PeerMessage::decode(&datagrams[0][..20]), None);
-    assert_eq!(PeerMessage::Loans(vec![talk(Some(70_000), 1.0, base)]).encode(), Vec::<Vec<u8>>::new());
+    assert_eq!(PeerMessage::Loans(vec![loan(Some(70_000), 1.0, base)]).encode(), Vec::<Vec<u8>>::new());
 }
 
 #[test]
@@ -385,7 +385,7 @@
     assert_eq!(
         (zones.zones.len(), zones.number),
         (3, None),
-        "it may not talk to others, so it lends nothing"
+        "it may not loan to others, so it lends nothing"
     );
 }
 
--- a/crates/driver/tests/rig.rs
+++ b/crates/driver/tests/rig.rs
@@ -46,7 +46,7 @@
     assert_kept(&outcome);
     assert!(outcome.day.score() > 0.97, "{}", outcome.day.score());
     assert!(outcome.came.iter().all(|came| *came > 10), "{:?}", outcome.came);
-    assert!(outcome.passed > 0, "processes talk");
+    assert!(outcome.passed > 0, "processes loan");
 }
 
 #[test]
--- a/crates/driver/tests/scale.rs
+++ b/crates/driver/tests/scale.rs
@@ -140,7 +140,8 @@
     let (hollow, processes) = (played.mean(), played.processes());
     assert_eq!(processes.len(), 6);
     let process = |of: fn(&Costs) -> f64| processes.iter().map(of).sum::<f64>() / processes.len() as f64;
-    let figures: [(&str, fn(&Costs) -> f64); 6] = [
+    type Figure = fn(&Costs) -> f64;
+    let figures: [(&str, Figure); 6] = [
         ("datagrams received", |c| c.datagrams_received),
         ("bytes of messages", Costs::peer_bytes),
         ("bytes sent to the agent", |c| c.list_bytes_sent),
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -24,10 +24,10 @@
 pub mod queue;
 pub mod router;
 
+mod peer_messages;
 mod routing;
 mod serving;
 mod spill;
-mod talking;
 pub mod tally;
 pub mod world;
 
--- a/crates/emulator/src/routing.rs
+++ b/crates/emulator/src/routing.rs
@@ -2,7 +2,7 @@
 
 use beaconshore::interface::{
     Action, Consistency, Entry, Event, GroupId, ListKind, MemberId, Micros, Outcome, Report, Request,
-    RequestId, SessionId, Settings, Talk, ZoneId,
+    RequestId, SessionId, Settings, SpillLoan, ZoneId,
 };
 use beaconshore_steering::{Plans, Steering};
 use beaconshore_zones::Policy;
@@ -64,9 +64,9 @@
                 for word in &words {
                     self.audit.heard(router, word.member.0 as usize, word.role, word.position);
                 }
-                self.tell(router, &Event::Told(words));
+                self.tell(router, &Event::PeerUpdates(words));
             }
-            Ev::Talk(_, from, talks) => self.tell(router, &Event::Talk(from, talks)),
+            Ev::SpillLoans(_, from, talks) => self.tell(router, &Event::SpillLoans(from, talks)),
             Ev::Reset(_, member, _) if self.outside.is_some() => self.reset_outside(router, member),
             Ev::Reset(_, member, epoch) => self.reset(router, member, epoch),
             _ => {}
@@ -185,15 +185,15 @@
             }
             Action::Probe(member) => self.probe(process, member.0 as usize),
             Action::Forget(_) | Action::Subscribe => {}
-            Action::Tell(words) => {
+            Action::TellPeers(words) => {
                 self.day.second(now).told += 1;
                 self.tell_peers(router, |p| Some(Ev::Words(p, words.clone())));
             }
-            Action::Talk(talks) => self.tell_peers(router, |p| {
+            Action::SpillLoans(talks) => self.tell_peers(router, |p| {
                 // What is lent goes to its borrower only.
                 let own = talks.iter().filter(|t| t.to.is_none_or(|to| to as usize == p.0));
-                let own: Vec<Talk> = own.cloned().collect();
-                (!own.is_empty()).then_some(Ev::Talk(p, router as u32, own))
+                let own: Vec<SpillLoan> = own.cloned().collect();
+                (!own.is_empty()).then_some(Ev::SpillLoans(p, router as u32, own))
             }),
             Action::SetTimer(after) => self.queue.after(after, Ev::Timer(process)),
             Action::Log(line) => self.day.lines.push((now - DAWN, router, line)),
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use beaconshore::interface::{Entry, Listed, Micros, Note, Outcome, Report, RequestId, Talk, Word};
+use beaconshore::interface::{
+    Entry, Listed, MemberUpdate, Micros, Note, Outcome, Report, RequestId, SpillLoan,
+};
 
 use crate::audit::Audit;
 use crate::baseline::Brains;
@@ -75,8 +77,8 @@
     News(Process, Box<Entry>, u64),
     Relist(Process),
     Leave(Process),
-    Words(Process, Vec<Word>),
-    Talk(Process, u32, Vec<Talk>),
+    Words(Process, Vec<MemberUpdate>),
+    SpillLoans(Process, u32, Vec<SpillLoan>),
     Reset(Process, usize, u32),
     Strike(usize),
     Heal(usize, Vec<usize>),
@@ -252,7 +254,7 @@
             Ev::Relist(p) => self.at_router(p, Ev::Relist(p)),
             Ev::Leave((router, epoch)) => self.leave(router, epoch),
             Ev::Words(p, words) => self.at_router(p, Ev::Words(p, words)),
-            Ev::Talk(p, from, talks) => self.at_router(p, Ev::Talk(p, from, talks)),
+            Ev::SpillLoans(p, from, talks) => self.at_router(p, Ev::SpillLoans(p, from, talks)),
             Ev::Reset(p, m, e) => self.at_router(p, Ev::Reset(p, m, e)),
             Ev::AtMember(job, epoch) => self.at_member(job, epoch),
             Ev::Done(member, epoch, slot) => self.done(member, epoch, slot),
--- a/crates/gossip/src/spread.rs
+++ b/crates/gossip/src/spread.rs
@@ -128,7 +128,7 @@
         let mut news = Vec::new();
         for state in states {
             let update = self.table.update(*state, now);
-            // Others know the position by now: it is not worth telling again.
+            // Others know the position by now: it is not worth broadcast again.
             self.positions.remove(&state.member);
             match update {
                 Update::FirstRole => self.start_rumour(state.member, true),
--- a/crates/lab/src/capacity/decisions.rs
+++ b/crates/lab/src/capacity/decisions.rs
@@ -134,7 +134,7 @@
         let group = (self.next.wrapping_mul(2_654_435_761) >> 7) % self.groups;
         self.handle(&Event::Request(Request {
             id: RequestId(self.next),
-            class: usize::from(self.next % 6 == 0),
+            class: usize::from(self.next.is_multiple_of(6)),
             group: GroupId(group as u32),
             session: None,
             budget: 2_000 * MILLISECOND,
@@ -145,7 +145,7 @@
 }
 
 fn is_primary(member: MemberId) -> bool {
-    member.0 % GROUP == 0
+    member.0.is_multiple_of(GROUP)
 }
 
 fn served(now: Micros, request: RequestId, member: MemberId) -> Ended {
--- a/crates/lab/src/scale.rs
+++ b/crates/lab/src/scale.rs
@@ -103,7 +103,7 @@
 /// Plays a day on hollow drivers and processes.
 pub fn play(plan: &Plan, request: &Request, stop: &AtomicBool) -> Result<Run, String> {
     let zones = plan.zones.len();
-    if request.processes % zones != 0 {
+    if !request.processes.is_multiple_of(zones) {
         return Err(format!("{} processes: a multiple of the {zones} zones is needed", request.processes));
     }
     let operator = match &request.operator {
--- a/crates/rig/src/agent.rs
+++ b/crates/rig/src/agent.rs
@@ -26,6 +26,8 @@
     version: u64,
     /// Entries by name, with the version in which each last changed.
     entries: BTreeMap<String, (u64, Value)>,
+    /// The whole list of a version, as text: hundreds of drivers ask for it every other second.
+    whole: Option<(u64, Rc<str>)>,
     /// Watches, each told that there is something new.
     watches: Vec<Sender<()>>,
 }
@@ -57,6 +59,18 @@
         (state.version, json!({"generation": state.version, "reset": reset, "instances": instances}))
     }
 
+    /// The whole list as text.
+    fn whole(&self) -> Rc<str> {
+        let version = self.0.borrow().version;
+        let kept = self.0.borrow().whole.clone();
+        if let Some((_, text)) = kept.filter(|(of, _)| *of == version) {
+            return text;
+        }
+        let text: Rc<str> = self.listing(0, true).1.to_string().into();
+        self.0.borrow_mut().whole = Some((version, text.clone()));
+        text
+    }
+
     /// Serves at this address.
     pub fn serve(&self, executor: &Rc<LocalExecutor<'static>>, listener: Async<TcpListener>) {
         let (agent, on) = (self.clone(), executor.clone());
@@ -83,7 +97,7 @@
         let head = String::from_utf8_lossy(&head).into_owned();
         let target = head.split(' ').nth(1).unwrap_or_default();
         let Some(from) = target.split_once("watch=1&from=").and_then(|(_, from)| from.parse().ok()) else {
-            let text = self.listing(0, true).1.to_string();
+            let text = self.whole();
             let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
             return stream.write_all(answer.as_bytes()).await;
         };
--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -10,7 +10,7 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use beaconshore::interface::{MemberId, Micros, Note, Outcome, Report, RequestId};
-use beaconshore_driver::client::{Answer as ClientAnswer, ClientMail, Served, Wanted};
+use beaconshore_driver::client::{Answer as ClientAnswer, CancelFlag, ClientMail, Served};
 use beaconshore_driver::control::MemberTransport;
 use beaconshore_driver::member::{AttemptEnd, MemberMail, Told};
 use beaconshore_driver::module::{Arrival, Login, Mail, ModuleHandle, Statement};
@@ -119,7 +119,7 @@
             repeat: ask.repeat,
             after: ask.after.map(|at| (at + offset).div_ceil(1000)),
             statement: Rc::new(Statement { text: Box::default(), wait_at: 0..0 }),
-            wanted: Wanted::default(),
+            cancel_flag: CancelFlag::default(),
             client: self.answers.clone(),
             login: Rc::new(Login::default()),
         };
--- a/crates/zones/src/planner.rs
+++ b/crates/zones/src/planner.rs
@@ -5,7 +5,7 @@
 
 use beaconshore::interface::{
     Action, Advice, Consistency, Entry, Event, GroupId, ListKind, Listed, MemberId, Micros, Outcome,
-    RequestId, Role, Settings, Spill, Talk, ZoneId, ZoneWord,
+    RequestId, Role, Settings, Spill, SpillLoan, ZoneId, ZoneWord,
 };
 
 use crate::evidence::{Assessment, Evidence, Record, Verdict};
@@ -103,7 +103,7 @@
     round_at: Micros,
     asked: Micros,
     fitted: Micros,
-    talks: Vec<Talk>,
+    talks: Vec<SpillLoan>,
     changes: Vec<(ZoneId, Change)>,
 }
 
@@ -180,11 +180,11 @@
                     self.evidence.on_said(*member, report.position, report.utilization, now);
                 }
             }
-            Event::Told(words) => {
+            Event::PeerUpdates(words) => {
                 words.iter().for_each(|w| self.evidence.on_word(w.member, w.position, now));
             }
             Event::HungUp(request) => drop(self.requests.remove(request)),
-            Event::Talk(from, talks) => self.on_talk(*from, talks, now),
+            Event::SpillLoans(from, talks) => self.on_talk(*from, talks, now),
             Event::Request(_) | Event::Narrowed(..) | Event::Rest(..) | Event::Advice(_) | Event::Timer => {}
         }
     }
@@ -196,7 +196,7 @@
     }
 
     /// Another router asks for a part of a limit, or lends one.
-    fn on_talk(&mut self, from: u32, talks: &[Talk], now: Micros) {
+    fn on_talk(&mut self, from: u32, talks: &[SpillLoan], now: Micros) {
         let Some(number) = self.policy.number.filter(|number| *number != from) else { return };
         for talk in talks {
             let account = self.zones.get_mut(&talk.zone).and_then(|z| z.account.as_mut());
@@ -206,7 +206,7 @@
                 Some(_) => {}
                 None => {
                     let lent = account.lend(from, talk.work, now);
-                    let talk = |(work, until)| Talk { zone: talk.zone, to: Some(from), work, until };
+                    let talk = |(work, until)| SpillLoan { zone: talk.zone, to: Some(from), work, until };
                     self.talks.extend(lent.map(talk));
                 }
             }
@@ -230,7 +230,7 @@
         }
         let work = (wanted - own) / count;
         let needs = self.zones.iter().filter(|(_, z)| open(z));
-        let talk = |zone: ZoneId| Talk { zone, to: None, work, until: now };
+        let talk = |zone: ZoneId| SpillLoan { zone, to: None, work, until: now };
         self.talks.extend(needs.map(|(zone, _)| talk(*zone)));
     }
 
@@ -351,7 +351,7 @@
             due = self.due_probes(now);
         }
         if !self.talks.is_empty() {
-            due.push(Action::Talk(std::mem::take(&mut self.talks)));
+            due.push(Action::SpillLoans(std::mem::take(&mut self.talks)));
         }
         let order: Vec<ZoneId> =
             self.tiers.order(self.settings.zone, self.zones.keys().copied(), &self.policy).to_vec();
--- a/crates/zones/tests/evidence.rs
+++ b/crates/zones/tests/evidence.rs
@@ -191,9 +191,9 @@
     assert_eq!(s.doubted(), [2]);
     for _ in 0..6 {
         s.pass(300 * MS, failing(2, 4));
-        let word = |m| Word { member: MemberId(m), position: s.now - 20 * MS, role: None };
-        let words: Vec<Word> = [2, 5, 8, 11].map(word).into();
-        s.planner.on_event(s.now, &Event::Told(words));
+        let word = |m| MemberUpdate { member: MemberId(m), position: s.now - 20 * MS, role: None };
+        let words: Vec<MemberUpdate> = [2, 5, 8, 11].map(word).into();
+        s.planner.on_event(s.now, &Event::PeerUpdates(words));
     }
     assert_eq!(s.planner.status(s.now).iter().find(|z| z.zone == ZoneId(2)).unwrap().phase, "cut-off");
     // Its members answer again: a large share at once, for they are warm.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -257,7 +257,7 @@
 
 /// What routers tell each other of a member.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Word {
+pub struct MemberUpdate {
     /// Which member.
     pub member: MemberId,
     /// Position that it had reached.
@@ -301,7 +301,7 @@
 
 /// What planners of routers tell each other of the limits that they share.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Talk {
+pub struct SpillLoan {
     /// Whose limit.
     pub zone: ZoneId,
     /// The router that this is lent to, by its number; none: this router asks for it.
@@ -423,11 +423,11 @@
         report: Report,
     },
     /// What another router heard from members.
-    Told(Vec<Word>),
+    PeerUpdates(Vec<MemberUpdate>),
     /// What planners say of zones.
     Advice(&'a Advice),
     /// What the planner of another router, by its number, tells those here.
-    Talk(u32, Vec<Talk>),
+    SpillLoans(u32, Vec<SpillLoan>),
     /// The client is gone; nothing is owed any more.
     HungUp(RequestId),
     /// The timer that the router set is due.
@@ -462,9 +462,9 @@
     /// Nothing refers to a member any more: what belongs to it can go. Should it be listed again, it is a new one.
     Forget(MemberId),
     /// Tell all other routers what members said.
-    Tell(Vec<Word>),
+    TellPeers(Vec<MemberUpdate>),
     /// Tell all other routers what planners have to say; it may be lost.
-    Talk(Vec<Talk>),
+    SpillLoans(Vec<SpillLoan>),
     /// Wake the router after this time.
     SetTimer(Micros),
     /// Subscribe to the list.
--- a/src/policy/telling.rs
+++ b/src/policy/broadcast.rs
@@ -1,8 +1,8 @@
 //! What a router tells the others of what members said, and when: words spare others their probes and change
-//! no rule, for a router that hears nothing finds out by itself (`docs/design/scouting.md`).
+//! no rule, for a router that hears nothing finds out by itself (`docs/design/probe-sharing.md`).
 
-use crate::interface::{Micros, Settings, Word};
-use crate::policy::scouting::{lag_pause, PROBE_PERIOD};
+use crate::interface::{MemberUpdate, Micros, Settings};
+use crate::policy::probe_share::{lag_pause, PROBE_PERIOD};
 
 /// Positions are told once in this part of the tightest bound.
 const NEWS: u64 = 2;
@@ -11,22 +11,22 @@
 /// A router that hears nobody gathers its words for this long, in microseconds: the others may hear it.
 const GATHER: Micros = 500_000;
 
-/// A router's part in telling.
+/// A router's part in broadcast.
 #[derive(Clone, Debug, Default)]
-pub struct Telling {
+pub struct Broadcast {
     /// Whether the site permits messages.
     allowed: bool,
     bound: Micros,
-    words: Vec<Word>,
+    words: Vec<MemberUpdate>,
     told_at: Micros,
     heard_at: Micros,
 }
 
-impl Telling {
+impl Broadcast {
     /// The part of a router with these settings and this tightest bound.
     pub fn new(settings: &Settings, bound: Micros, now: Micros) -> Self {
         let allowed = settings.limits.peer_messages;
-        Telling { allowed, bound, heard_at: now, ..Telling::default() }
+        Broadcast { allowed, bound, heard_at: now, ..Broadcast::default() }
     }
 
     /// Others told something.
@@ -46,12 +46,12 @@
     }
 
     /// Takes a word that is news.
-    pub fn add(&mut self, word: Word) {
+    pub fn add(&mut self, word: MemberUpdate) {
         self.words.push(word);
     }
 
     /// What is to be told now; nothing while a router that hears nobody gathers.
-    pub fn due(&mut self, now: Micros) -> Option<Vec<Word>> {
+    pub fn due(&mut self, now: Micros) -> Option<Vec<MemberUpdate>> {
         let deaf = now > self.heard_at.saturating_add(DEAF);
         let gathers = deaf && now < self.told_at.saturating_add(GATHER);
         if self.words.is_empty() || gathers {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,16 +1,16 @@
 //! Every decision of the routing service, in the order of a request's life; nothing else decides anything.
 //! Settings, events and actions are in `src/interface.rs`, the form of records in `src/records.rs`.
 
-pub mod scouting;
-pub mod telling;
+pub mod broadcast;
+pub mod probe_share;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::*;
 use crate::random::{share_of, Random};
 use crate::records::{Group, Held, Member, Open};
-use scouting::{lag_pause, Scouting, PROBE_PERIOD};
-use telling::Telling;
+use broadcast::Broadcast;
+use probe_share::{lag_pause, ProbeShare, PROBE_PERIOD};
 
 /// Pause between rounds of due work, in steps: short against every aim, dear in no site's CPU share.
 const TICK_STEPS: u64 = 2;
@@ -70,14 +70,14 @@
     tick: Micros,
     bound: Micros,
     random: Random,
-    scouting: Scouting,
+    probe_share: ProbeShare,
     now: Micros,
     pub(crate) members: BTreeMap<MemberId, Member>,
     pub(crate) groups: BTreeMap<GroupId, Group>,
     pub(crate) held: BTreeMap<RequestId, Held>,
     services: Vec<Service>,
     pub(crate) sessions: BTreeMap<SessionId, Micros>, // Commits that they must see, where it remembers.
-    telling: Telling,                                 // What is to be told to other routers.
+    broadcast: Broadcast,                             // What is to be told to other routers.
     refused: f64,                                     // Share of attempts of late that got no connection.
     lost: f64,   // Share of attempts of late that had no answer, while their members answered others.
     useful: f64, // Share of attempts of late that were served.
@@ -94,8 +94,8 @@
         let bound = settings.classes.iter().map(bound).min().unwrap_or(Micros::MAX);
         let services = settings.classes.iter().map(|c| Service::new(c.aim as f64)).collect();
         let (tick, random) = (settings.step * TICK_STEPS, Random::new(seed));
-        let (scouting, telling) = (Scouting::new(&settings), Telling::new(&settings, bound, now));
-        let parts = Router { scouting, telling, now, services, useful: 1.0, ..Router::default() };
+        let (probe_share, broadcast) = (ProbeShare::new(&settings), Broadcast::new(&settings, bound, now));
+        let parts = Router { probe_share, broadcast, now, services, useful: 1.0, ..Router::default() };
         Router { settings, tick, bound, random, ..parts }
     }
 
@@ -109,10 +109,10 @@
             Event::Rest(request, until) => self.on_rest(*request, *until),
             Event::AttemptEnded(ended) => self.on_outcome(ended, out),
             Event::ProbeEnded { member, outcome, report } => self.on_probe(*member, *outcome, report, out),
-            Event::Told(words) => self.on_words(words),
+            Event::PeerUpdates(words) => self.on_words(words),
             Event::Advice(advice) => self.on_advice(advice, out),
             Event::HungUp(request) => drop(self.held.remove(request)),
-            Event::Talk(..) => {}
+            Event::SpillLoans(..) => {}
             Event::Timer => self.on_tick(out),
         }
     }
@@ -133,7 +133,7 @@
         entries.iter().for_each(|entry| self.on_entry(entry));
         if kind == ListKind::Cached {
             let all = self.members.keys().map(|id| (*id, 0)).collect();
-            let mine = self.scouting.share(all, Some(1), 1, &mut self.random);
+            let mine = self.probe_share.share(all, Some(1), 1, &mut self.random);
             self.probe_all(mine, out);
             out.push(Action::SetTimer(self.tick));
             out.extend((self.settings.discovery == Discovery::OnRequest).then_some(Action::Subscribe));
@@ -220,9 +220,9 @@
         if let Some(p) = position.filter(|&p| p >= m.position) {
             (m.position, m.heard) = (p, self.now);
             // Routers that may talk tell each other what none has told of late: it spares probes.
-            if self.telling.is_news(p, known, m.shared, self.now) {
+            if self.broadcast.is_news(p, known, m.shared, self.now) {
                 m.shared = self.now;
-                self.telling.add(Word { member: id, position: p, role });
+                self.broadcast.add(MemberUpdate { member: id, position: p, role });
             }
         }
         let (believed, seen) = group.primary.map_or((false, 0), |(p, seen)| (p == id, seen));
@@ -240,8 +240,8 @@
     }
 
     /// A peer's word counts as a report: it speaks of the time of its position.
-    fn on_words(&mut self, words: &[Word]) {
-        self.telling.on_heard(self.now);
+    fn on_words(&mut self, words: &[MemberUpdate]) {
+        self.broadcast.on_heard(self.now);
         for word in words {
             self.members.get_mut(&word.member).into_iter().for_each(|m| m.shared = self.now);
             self.learn(word.member, Some(word.position), word.role, word.position);
@@ -664,7 +664,7 @@
 
     fn on_tick(&mut self, out: &mut Vec<Action>) {
         out.push(Action::SetTimer(self.tick));
-        out.extend(self.telling.due(self.now).map(Action::Tell));
+        out.extend(self.broadcast.due(self.now).map(Action::TellPeers));
         if self.resubscribe_at.is_some_and(|at| at <= self.now) {
             self.resubscribe_at = Some(self.now + self.settings.rules.ask_within / 4);
             out.push(Action::Subscribe);
@@ -710,7 +710,7 @@
         let mut due: Vec<&&Member> = due.filter(ripe).collect();
         due.sort_by_key(|m| (m.heard > 0, self.lagged(m), self.tier(m.zone), m.probe_sent));
         let needs = fresh.is_empty() || due.first().is_some_and(|m| m.heard == 0);
-        let part = self.scouting.part(due.len());
+        let part = self.probe_share.part(due.len());
         let asked = part < due.len() && self.group_members(held.group).any(|m| self.is_awaited(m));
         let gap =
             self.groups.get(&held.group).filter(|g| g.asked > 0).map(|g| self.now.saturating_sub(g.asked));
@@ -718,7 +718,7 @@
         let due = match needs {
             true if asked => return,
             true => due.into_iter().take(part).collect(),
-            false => self.scouting.share(due, gap, bound.max(PROBE_PERIOD) / 2, &mut self.random),
+            false => self.probe_share.share(due, gap, bound.max(PROBE_PERIOD) / 2, &mut self.random),
         };
         self.probe_all(due, out);
     }
@@ -746,7 +746,8 @@
         let search = (lost && !group.line.is_empty()).then_some(silent / SEARCH_SPREAD);
         let doublings = |m: &Member| m.failures.max(u32::from(m.is_silent() && !m.dark) * DROP_FAILURES);
         let rare = |m| PROBE_PERIOD << doublings(m).min(DROP_FAILURES);
-        let pause = |m| search.map_or(rare(m), |p| self.scouting.pause(p.max(SEARCH_PERIOD), PROBE_PERIOD));
+        let pause =
+            |m| search.map_or(rare(m), |p| self.probe_share.pause(p.max(SEARCH_PERIOD), PROBE_PERIOD));
         let due = self.group_members(id).filter(|m| lost || !self.is_good(m));
         self.probe_all(due.map(|m| (m.id, pause(m))).collect(), out);
     }
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -24,8 +24,8 @@
 }
 
 fn told(stage: &mut Stage, member: u32, role: Role) -> Vec<Action> {
-    let word = Word { member: MemberId(member), position: stage.now - MS, role: Some(role) };
-    stage.event(Event::Told(vec![word]))
+    let word = MemberUpdate { member: MemberId(member), position: stage.now - MS, role: Some(role) };
+    stage.event(Event::PeerUpdates(vec![word]))
 }
 
 #[test]
@@ -165,8 +165,9 @@
         for _ in 0..100 {
             let mut actions = stage.pass(20 * MS);
             actions.extend(stage.probed(member, stage.now - MS, member == 1));
-            let of = |word: &&Word| word.member == MemberId(member);
-            let tells = |a: &Action| if let Action::Tell(w) = a { w.iter().filter(of).count() } else { 0 };
+            let of = |word: &&MemberUpdate| word.member == MemberId(member);
+            let tells =
+                |a: &Action| if let Action::TellPeers(w) = a { w.iter().filter(of).count() } else { 0 };
             words += actions.iter().map(tells).sum::<usize>();
         }
         words
@@ -201,7 +202,7 @@
 fn tells(heard_every: Option<Micros>) -> usize {
     let (mut stage, _) = Stage::seeded(1, among(FLEET), &entries());
     let (mut tells, begun) = (0, stage.now);
-    let count = |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::Tell(_))).count();
+    let count = |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::TellPeers(_))).count();
     told(&mut stage, 2, Role::Replica);
     told(&mut stage, 3, Role::Replica);
     while stage.now < begun + 4_000 * MS {
--- a/tests/scouting.rs
+++ b/tests/probe_share.rs
@@ -1,21 +1,21 @@
-//! How a fleet divides its probes (`docs/design/scouting.md`).
+//! How a fleet divides its probes (`docs/design/probe-sharing.md`).
 
 use beaconshore::interface::{Limits, Micros, Settings};
-use beaconshore::policy::scouting::{lag_pause, Scouting, PROBE_PERIOD};
+use beaconshore::policy::probe_share::{lag_pause, ProbeShare, PROBE_PERIOD};
 use beaconshore::random::Random;
 
-fn fleet(routers: u32, peer_messages: bool) -> Scouting {
+fn fleet(routers: u32, peer_messages: bool) -> ProbeShare {
     let limits = Limits { peer_messages, ..Limits::default() };
-    Scouting::new(&Settings { routers, limits, ..Settings::default() })
+    ProbeShare::new(&Settings { routers, limits, ..Settings::default() })
 }
 
 #[test]
 fn few_routers_or_silent_ones_find_out_all_by_themselves() {
     let mut random = Random::new(7);
-    for scouting in [fleet(0, true), fleet(3, true), fleet(300, false), Scouting::default()] {
-        assert_eq!(scouting.share((0..100).collect(), Some(0), 1, &mut random).len(), 100);
-        assert!((0..10).all(|due| scouting.part(due) == due));
-        assert_eq!(scouting.pause(100, 1_000), 100);
+    for probe_share in [fleet(0, true), fleet(3, true), fleet(300, false), ProbeShare::default()] {
+        assert_eq!(probe_share.share((0..100).collect(), Some(0), 1, &mut random).len(), 100);
+        assert!((0..10).all(|due| probe_share.part(due) == due));
+        assert_eq!(probe_share.pause(100, 1_000), 100);
     }
 }
 
--- a/tests/results_page.rs
+++ b/tests/results_page.rs
@@ -25,7 +25,8 @@
     for (heading, least, wording) in [
         ("Fleet days, 300 drivers", 9, "score of the real nodes "),
         ("On sockets, cairo-readings, service days", 9, "score of the real nodes "),
-        ("Short days", 40, "score of the real nodes "),
+        ("Short days, fifteen a play", 9, "score of the real nodes "),
+        ("Short days, four deployments", 40, "score of the real nodes "),
         ("Simulated: three further deployments", 6, "): "),
     ] {
         let rows = rows(&page, heading);
