--- a/crates/driver/tests/scale.rs
+++ b/crates/driver/tests/scale.rs
@@ -17,6 +17,8 @@
 const ZONES: usize = 3;
 /// Threads for hollow drivers.
 const THREADS: usize = 2;
+/// Descriptors that the test runner itself may take meanwhile.
+const SPARE: usize = 8;
 
 /// A day to play.
 struct Day<'d> {
@@ -59,6 +61,7 @@
     fn play(&self) -> Played {
         let _alone = ONE_DAY.lock().unwrap_or_else(PoisonError::into_inner);
         let plan = experiment::read(self.name, &self.text()).unwrap_or_else(|e| panic!("{e}"));
+        let before = descriptors();
         let folder = env::temp_dir().join(format!("beaconshore-scale-{}-{}", process::id(), self.name));
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).unwrap();
@@ -77,10 +80,18 @@
             progress: &|_| {},
         };
         let outcome = run_fleet(&plan, 7, fleet, &AtomicBool::new(false)).expect("the day is played");
-        Played { outcome, samples: host.finish(), folder }
+        let samples = host.finish();
+        let after = descriptors();
+        assert!(after <= before + SPARE, "{before} descriptors before the day, {after} after it");
+        Played { outcome, samples, folder }
     }
 }
 
+/// Descriptors that this process holds.
+fn descriptors() -> usize {
+    fs::read_dir("/proc/self/fd").map_or(0, Iterator::count)
+}
+
 impl Played {
     /// Costs a second and hollow driver, over the seconds after the fleet has started.
     fn mean(&self) -> Costs {
--- a/crates/lab/src/capacity/sweep.rs
+++ b/crates/lab/src/capacity/sweep.rs
@@ -27,8 +27,8 @@
 pub const CENTER: Point = Point { drivers: 24, databases: 50, zones: 3, rate: 40.0 };
 /// Length of each run in seconds, after the time for starts.
 const SECONDS: u32 = 10;
-/// Runs side by side: each keeps about a core busy.
-const SIDE_BY_SIDE: usize = 3;
+/// Runs side by side: each keeps a part of a core busy.
+const SIDE_BY_SIDE: usize = 5;
 
 /// A run of the sweep.
 #[derive(Clone, Copy, Debug)]
--- a/crates/rig/src/agent.rs
+++ b/crates/rig/src/agent.rs
@@ -11,11 +11,12 @@
 use std::time::Duration;
 
 use async_channel::Sender;
-use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use serde_json::{json, Value};
 
+use crate::spawner::Spawner;
+
 /// A watch that has nothing to tell says so this often.
 const BEAT: Duration = Duration::from_secs(2);
 /// Longest head of a request.
@@ -72,16 +73,16 @@
     }
 
     /// Serves at this address.
-    pub fn serve(&self, executor: &Rc<LocalExecutor<'static>>, listener: Async<TcpListener>) {
-        let (agent, on) = (self.clone(), executor.clone());
+    pub fn serve(&self, spawner: &Spawner, listener: Async<TcpListener>) {
+        let (agent, on) = (self.clone(), spawner.clone());
         let accept = async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let agent = agent.clone();
                 // A process that ends in the middle of an answer needs no more of it.
-                on.spawn(async move { drop(agent.answer(stream).await) }).detach();
+                on.spawn(async move { drop(agent.answer(stream).await) });
             }
         };
-        executor.spawn(accept).detach();
+        spawner.spawn(accept);
     }
 
     async fn answer(self, mut stream: Async<TcpStream>) -> io::Result<()> {
--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use async_channel::Sender;
-use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use beaconshore::interface::{Consistency, Micros};
 use beaconshore_emulator::client::Answer;
@@ -17,6 +16,7 @@
 use futures_lite::{future, AsyncWriteExt};
 
 use crate::mail::Mail;
+use crate::spawner::Spawner;
 use crate::wire::{fields, message, query, startup, Inbox};
 
 /// So much longer than its time a client listens for its answer: a late one is told apart from none.
@@ -47,19 +47,14 @@
 pub struct Clients {
     pub router: usize,
     pub address: SocketAddr,
-    pub executor: Rc<LocalExecutor<'static>>,
+    pub spawner: Spawner,
     pub mail: Sender<Mail>,
     idle: Rc<RefCell<Vec<Connection>>>,
 }
 
 impl Clients {
-    pub fn new(
-        router: usize,
-        address: SocketAddr,
-        executor: Rc<LocalExecutor<'static>>,
-        mail: Sender<Mail>,
-    ) -> Self {
-        Clients { router, address, executor, mail, idle: Rc::default() }
+    pub fn new(router: usize, address: SocketAddr, spawner: Spawner, mail: Sender<Mail>) -> Self {
+        Clients { router, address, spawner, mail, idle: Rc::default() }
     }
 
     /// Connections to a process that is gone lead nowhere.
@@ -94,7 +89,7 @@
                 }
             }
         };
-        self.executor.spawn(ready).detach();
+        self.spawner.spawn(ready);
     }
 
     /// A client asks.
@@ -113,7 +108,7 @@
             };
             let _ = clients.mail.try_send(mail);
         };
-        self.executor.spawn(carry).detach();
+        self.spawner.spawn(carry);
     }
 
     async fn carry(&self, text: &str, patience: Duration) -> End {
--- a/crates/rig/src/hub.rs
+++ b/crates/rig/src/hub.rs
@@ -9,10 +9,10 @@
 use std::rc::Rc;
 
 use async_channel::Sender;
-use async_executor::LocalExecutor;
 use async_io::Async;
 
 use crate::mail::Mail;
+use crate::spawner::Spawner;
 
 /// Longest datagram that the platform allows; a longer one is passed on cut, so that it can't go unnoticed.
 const MOST: usize = 257;
@@ -49,7 +49,7 @@
     }
 
     /// Takes what comes.
-    pub fn serve(&self, executor: &Rc<LocalExecutor<'static>>, mail: &Sender<Mail>) {
+    pub fn serve(&self, spawner: &Spawner, mail: &Sender<Mail>) {
         let numbers: Rc<HashMap<SocketAddr, usize>> =
             Rc::new(self.listens.iter().copied().zip(0..).collect());
         let ways = self.sockets.iter().enumerate().map(|(n, socket)| (Some(n), socket));
@@ -65,7 +65,7 @@
                     let _ = mail.try_send(Mail::Datagram { from, to, bytes: bytes[..length].into() });
                 }
             };
-            executor.spawn(receive).detach();
+            spawner.spawn(receive);
         }
     }
 
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -16,6 +16,7 @@
 mod mail;
 mod play;
 mod process;
+mod spawner;
 mod store;
 pub mod wire;
 
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -28,6 +28,7 @@
 use crate::hub::Hub;
 use crate::mail::{Back, Link, Mail, Under};
 use crate::process::{Process, Program};
+use crate::spawner::Spawner;
 use crate::store::Store;
 
 /// The day's clock is looked at this often at least.
@@ -187,7 +188,8 @@
     let folder = tempfile::tempdir()?;
     let executor = Rc::new(LocalExecutor::new());
     let (sender, mail) = async_channel::unbounded();
-    let mut play = Play::new(&played, seed, fleet, folder.path(), &executor, (sender, mail))?;
+    let spawner = Spawner::new(&executor);
+    let mut play = Play::new(&played, seed, fleet, folder.path(), &spawner, (sender, mail))?;
     future::block_on(executor.run(play.all(stop)));
     let Counts { came, passed, lost, connections, behind, .. } = std::mem::take(&mut play.outcome);
     // All processes end here, before their files go.
@@ -204,7 +206,7 @@
         seed: u64,
         fleet: Fleet<'p>,
         folder: &'p Path,
-        executor: &Rc<LocalExecutor<'static>>,
+        spawner: &Spawner,
         (sender, mail): (Sender<Mail>, Receiver<Mail>),
     ) -> io::Result<Self> {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_err(io::Error::other)?;
@@ -213,9 +215,9 @@
         let run = RUNS.fetch_add(1, Ordering::Relaxed);
         let listens: Vec<SocketAddr> = (0..routers).map(|n| address(run, n, 7946)).collect();
         let hub = Hub::new(listens.clone())?;
-        hub.serve(executor, &sender);
+        hub.serve(spawner, &sender);
         let store =
-            Store { executor: executor.clone(), mail: sender.clone(), next: Rc::new(Cell::new(0)), offset };
+            Store { spawner: spawner.clone(), mail: sender.clone(), next: Rc::new(Cell::new(0)), offset };
         let (mut ways, mut agents, mut clients) = (Vec::new(), Vec::new(), Vec::new());
         let listen = || Async::<TcpListener>::bind(([127, 0, 0, 1], 0));
         for (router, peer_listen) in listens.into_iter().enumerate() {
@@ -231,13 +233,13 @@
             }
             let (agent, listener) = (Agent::default(), listen()?);
             let at = listener.get_ref().local_addr()?;
-            agent.serve(executor, listener);
+            agent.serve(spawner, listener);
             agents.push(agent);
             let listen = address(run, router, 5432);
             let peers_all = if fleet.broadcast { Some(hub.all()?) } else { None };
             let peers = hub.peers_of(router)?;
             ways.push(Ways { listen, peer_listen, agent: at, members, peers, peers_all });
-            clients.push(Clients::new(router, listen, executor.clone(), sender.clone()));
+            clients.push(Clients::new(router, listen, spawner.clone(), sender.clone()));
         }
         Ok(Play {
             plan,
--- a/crates/rig/src/store.rs
+++ b/crates/rig/src/store.rs
@@ -9,19 +9,19 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use beaconshore::interface::{Micros, Note, Outcome, Report, RequestId, Role};
 use beaconshore_emulator::live::{Said, Welcome};
 use futures_lite::{future, AsyncWriteExt};
 
 use crate::mail::{Back, Link, Mail, Under};
+use crate::spawner::Spawner;
 use crate::wire::{message, named, put, put_error, put_row, put_status, value_of, Inbox};
 
 /// What every connection shares.
 #[derive(Clone)]
 pub struct Store {
-    pub executor: Rc<LocalExecutor<'static>>,
+    pub spawner: Spawner,
     pub mail: Sender<Mail>,
     /// Numbers of connections and attempts.
     pub next: Rc<Cell<u64>>,
@@ -57,11 +57,11 @@
         let accept = async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let store = store.clone();
-                let on = store.executor.clone();
-                on.spawn(store.connection(stream, router, member)).detach();
+                let on = store.spawner.clone();
+                on.spawn(store.connection(stream, router, member));
             }
         };
-        self.executor.spawn(accept).detach();
+        self.spawner.spawn(accept);
     }
 
     async fn connection(self, stream: Async<TcpStream>, router: usize, member: usize) {
