--- a/crates/capacity/src/model.rs
+++ b/crates/capacity/src/model.rs
@@ -65,6 +65,10 @@
             (beyond, farthest) = (place / fit.most, Some(fit.axis));
         }
     }
+    if let (Cost::PeerBytes, Mechanism::Gossip) = (cost, mechanism) {
+        // The token bucket bounds what is sent; what all send, all receive.
+        value = value.min(2.0 * f64::from(beaconshore_gossip::Policy::default().bytes_per_second));
+    }
     Some(Figure { cost, mechanism, value: value.max(0.0), error: variance.sqrt(), beyond, farthest })
 }
 
--- a/crates/capacity/tests/page.rs
+++ b/crates/capacity/tests/page.rs
@@ -114,6 +114,21 @@
     assert!((full.value - 180.0).abs() < 1e-6, "{}", full.value);
 }
 
+#[test]
+fn gossip_is_bounded_by_its_bucket_and_a_broadcast_by_nothing() {
+    let along = |mechanism| {
+        [25.0, 50.0, 100.0].map(|x| Sample {
+            mechanism,
+            cost: Cost::PeerBytes,
+            ..sample(Axis::Databases, x, 100.0 * x)
+        })
+    };
+    let fits = fit_all(&[along(Mechanism::Gossip), along(Mechanism::AllToAll)].concat(), center);
+    let at = |mechanism| figure(&fits, &full_size(), Cost::PeerBytes, mechanism, 1.0).unwrap().value;
+    assert!((at(Mechanism::Gossip) - 1_920.0).abs() < 1e-6);
+    assert!((at(Mechanism::AllToAll) - 77_000.0).abs() < 1e-6);
+}
+
 #[test]
 fn a_size_that_cannot_be_meant_is_refused_with_its_place() {
     let text = text("deploy/capacity.textproto").replace("drivers: 420", "drivers: 0");
