--- a/crates/lab/tests/settling.rs
+++ b/crates/lab/tests/settling.rs
@@ -4,7 +4,7 @@
 
 /// Ordinary seconds, with the whole list in every other one.
 fn ordinary(second: usize) -> Figures {
-    let bytes = if second % 2 == 0 { 8_000.0 } else { 500.0 };
+    let bytes = if second.is_multiple_of(2) { 8_000.0 } else { 500.0 };
     Figures { bytes, messages: 12.0, control_us: 900.0, earned: 0.99 }
 }
 
