--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -131,11 +131,6 @@
     pub fn meter(&self) -> &Meter {
         &self.meter
     }
-
-    /// How many lists and changes its decision module has taken in.
-    pub fn lists(&self) -> u64 {
-        self.lists.get()
-    }
 }
 
 /// Serves until `stop` is ready and all that was taken is answered. Each configuration that `reloads` yields takes
--- a/crates/lab/src/capacity/connections.rs
+++ b/crates/lab/src/capacity/connections.rs
@@ -12,6 +12,8 @@
 use beaconshore_rig::Program;
 use serde_json::{json, Value};
 
+use crate::fleet::program_path;
+
 /// Connections that are held open. A machine gives some 20,000 descriptors to a process.
 const COUNTS: [usize; 4] = [0, 2_000, 4_000, 8_000];
 const SEEDS: u64 = 3;
@@ -24,10 +26,7 @@
 
 /// Measures all counts.
 pub fn run(program: Option<PathBuf>) -> Result<Vec<Sample>, String> {
-    let path = match program {
-        Some(path) => path,
-        None => env::current_exe().map_err(|e| e.to_string())?.with_file_name("beaconshore"),
-    };
+    let path = program_path(program.as_deref())?;
     let program = Program { path, operator: None, logs: None };
     let mut samples = Vec::new();
     for seed in 1..=SEEDS {
--- a/crates/lab/src/capacity/sweep.rs
+++ b/crates/lab/src/capacity/sweep.rs
@@ -69,13 +69,12 @@
     let (next, samples, failed) = (AtomicUsize::new(0), Mutex::new(Vec::new()), Mutex::new(None));
     thread::scope(|scope| {
         for _ in 0..SIDE_BY_SIDE {
-            scope.spawn(|| {
-                while let Some(job) = jobs.get(next.fetch_add(1, Ordering::Relaxed)) {
-                    let number = jobs.iter().position(|other| std::ptr::eq(other, job)).unwrap_or(0);
-                    match measure(&file, &text, job, number) {
-                        Ok(found) => samples.lock().unwrap_or_else(|e| e.into_inner()).extend(found),
-                        Err(reason) => *failed.lock().unwrap_or_else(|e| e.into_inner()) = Some(reason),
-                    }
+            scope.spawn(|| loop {
+                let number = next.fetch_add(1, Ordering::Relaxed);
+                let Some(job) = jobs.get(number) else { break };
+                match measure(&file, &text, job, number) {
+                    Ok(found) => samples.lock().unwrap_or_else(|e| e.into_inner()).extend(found),
+                    Err(reason) => *failed.lock().unwrap_or_else(|e| e.into_inner()) = Some(reason),
                 }
             });
         }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -51,16 +51,7 @@
         Some(count) => plan.with_routers(count / zones),
         None => plan,
     };
-    let path = match &request.program {
-        Some(path) => path.clone(),
-        None => beside().map_err(|e| format!("the program beside this one: {e}; name it with --program"))?,
-    };
-    if !path.is_file() {
-        return Err(format!(
-            "{}: no such program; build beaconshore, or name it with --program",
-            path.display()
-        ));
-    }
+    let path = program_path(request.program.as_deref())?;
     let at = |e: io::Error| format!("{}: {e}", request.output.display());
     std::fs::create_dir_all(&request.output).map_err(at)?;
     request.logs.iter().try_for_each(std::fs::create_dir_all).map_err(at)?;
@@ -82,8 +73,21 @@
     Ok(if outcome.day.breaches.is_empty() { Verdict::Kept } else { Verdict::Broken })
 }
 
-fn beside() -> io::Result<PathBuf> {
-    Ok(env::current_exe()?.with_file_name("beaconshore"))
+/// The program that is named, or the one beside this; an error says how to get it.
+pub fn program_path(named: Option<&Path>) -> Result<PathBuf, String> {
+    let beside = || Ok(env::current_exe()?.with_file_name("beaconshore"));
+    let path = match named {
+        Some(path) => path.to_path_buf(),
+        None => beside()
+            .map_err(|e: io::Error| format!("the program beside this one: {e}; name it with --program"))?,
+    };
+    if !path.is_file() {
+        return Err(format!(
+            "{}: no such program; build beaconshore, or name it with --program",
+            path.display()
+        ));
+    }
+    Ok(path)
 }
 
 fn rows(outcome: &Outcome, emulated: &Day) -> Vec<Row> {
--- a/crates/lab/src/scale.rs
+++ b/crates/lab/src/scale.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use std::{env, fs, io};
+use std::{fs, io};
 
 use beaconshore_capacity::page::{EventRun, ScaleRun};
 use beaconshore_capacity::sample::Mechanism;
@@ -22,6 +22,7 @@
 use crate::capacity::{read_rows, write_rows};
 use crate::charts;
 use crate::cli::Verdict;
+use crate::fleet::program_path;
 use crate::settling::{self, Settled};
 
 /// Above this the rig was too late for its own day: what it says of times is void.
@@ -119,10 +120,7 @@
     let accounting = request.output.join("operator.textproto");
     fs::write(&accounting, operator_text(&operator)).map_err(at)?;
 
-    let path = match &request.program {
-        Some(path) => path.clone(),
-        None => env::current_exe().map_err(|e| e.to_string())?.with_file_name("beaconshore"),
-    };
+    let path = program_path(request.program.as_deref())?;
     let program = Program { path, operator: Some(accounting), logs: Some(logs.clone()) };
     let (sender, events) = async_channel::unbounded();
     let host = HollowHost::new(THREADS, gossip, &sender);
