Log and count who is taken for a group's primary, and by whose word

The decision module now reports each change, and each statement that it does not believe, as an action of its own; the driver logs and counts them, and names the member of each attempt at debug level. What is believed is unchanged; it moves to src/policy/roles.rs.

--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -369,7 +369,7 @@
             reply.record(code::SCHEDULE, &[&driver_bytes, &micros(*after), &0u32.to_le_bytes()]);
         }
         // In this protocol members stay known, and no zone planner runs.
-        Action::Forget(_) | Action::SpillLoans(_) => {}
+        Action::Forget(_) | Action::SpillLoans(_) | Action::ReportPrimary(_) => {}
         Action::Subscribe => reply.record(code::FOLLOW, &[&driver_bytes, &[1]]),
         Action::Log(text) => text_record(reply, code::PRINT, driver, text),
     }
--- a/crates/driver/src/decision/mod.rs
+++ b/crates/driver/src/decision/mod.rs
@@ -15,11 +15,11 @@
 use async_io::Timer;
 use beaconshore::interface::{
     Action, AttemptResult, Event, GroupId, ListEntry, ListKind, ListedState, MemberId, MemberUpdate, Micros,
-    Outcome, Request, RequestId, Role, SpillLoan, ZoneId,
+    Outcome, PrimaryEvent, PrimaryEventKind, Request, RequestId, Role, RoleSource, SpillLoan, ZoneId,
 };
 use beaconshore_steering::{ConnectionInfo, Steering};
 use futures_lite::future;
-use log::{info, warn};
+use log::{debug, info, log, warn, Level};
 
 use crate::client::{Answer, ClientMessage};
 use crate::config::Config;
@@ -433,15 +433,47 @@
             }
             // The membership list is watched at all times, so that there is nothing to do.
             Action::Subscribe => {}
+            Action::ReportPrimary(event) => self.report_primary(&event),
             Action::Log(line) => info!("{line}"),
         }
     }
 
+    /// The name of a member in the membership list, for the log.
+    fn member_name(&self, member: MemberId) -> &str {
+        self.members.get(&member).map_or("an unknown member", |known| &known.name)
+    }
+
+    /// Logs and counts an event about a group's primary.
+    fn report_primary(&self, event: &PrimaryEvent) {
+        let (counter, level, what) = match event.kind {
+            PrimaryEventKind::Accepted => {
+                (Counter::PrimariesAccepted, Level::Info, "is taken for the primary")
+            }
+            PrimaryEventKind::Revoked => {
+                (Counter::PrimariesRevoked, Level::Info, "is not the primary any more")
+            }
+            PrimaryEventKind::ClaimIgnored => {
+                (Counter::PrimaryClaimsIgnored, Level::Debug, "is not believed to be the primary")
+            }
+        };
+        let source = match event.source {
+            RoleSource::Answer => "its answer",
+            RoleSource::Report => "its report",
+            RoleSource::Peer => "another driver",
+            RoleSource::List => "the membership list",
+        };
+        let member = self.member_name(event.member);
+        let age = event.position_age.map_or("unknown".to_string(), |age| format!("{} ms old", age / 1000));
+        self.node.stats.count(counter);
+        log!(level, "group {}: {member} {what}, by {source}; its known position is {age}", event.group.0);
+    }
+
     /// Starts an attempt of a request at a member.
     fn send(&mut self, now: Micros, request: RequestId, member: MemberId, wait: Micros) {
         let Some(start) = self.requests.start_attempt(request, member, wait, now) else {
             return self.node.stats.check_invariant(false, "an attempt is sent only for an open request");
         };
+        debug!("request {:016x}: sent to {}", request.0, self.member_name(member));
         self.node.stats.check_invariant(start.is_only_attempt, "a request has at most one attempt in flight");
         let AttemptStart { statement, deadline, cancel_flag, .. } = start;
         let attempt = Attempt {
--- a/crates/driver/src/stats.rs
+++ b/crates/driver/src/stats.rs
@@ -96,6 +96,12 @@
     DescriptorWaits = "short_of_descriptors",
     /// Stalls of the process.
     Stalls = "standstills",
+    /// Times that a member was newly taken for a group's primary.
+    PrimariesAccepted = "primaries",
+    /// Times that a group's known primary turned out not to be one.
+    PrimariesRevoked = "primaries_lost",
+    /// Statements that a member is a primary that were not believed.
+    PrimaryClaimsIgnored = "claims_ignored",
     /// Violated invariants.
     InvariantViolations = "breaches",
 );
--- a/crates/emulator/src/routing.rs
+++ b/crates/emulator/src/routing.rs
@@ -186,7 +186,7 @@
                 m.connections = m.connections.saturating_sub(closed);
             }
             Action::Probe(member) => self.probe(process, member.0 as usize),
-            Action::Forget(_) | Action::Subscribe => {}
+            Action::Forget(_) | Action::Subscribe | Action::ReportPrimary(_) => {}
             Action::SendPeerUpdates(words) => {
                 self.day.second(now).told += 1;
                 self.tell_peers(router, |p| Some(Ev::Words(p, words.clone())));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -310,6 +310,45 @@
     pub home_tiers: Vec<(GroupId, u16)>,
 }
 
+/// By what a router learned about a member's role.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RoleSource {
+    /// The member's answer to a request of this router.
+    Answer,
+    /// A report of the member, given with an answer or to a probe.
+    Report,
+    /// Another router.
+    Peer,
+    /// The membership list.
+    List,
+}
+
+/// What happened to a router's knowledge of a group's primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PrimaryEventKind {
+    /// The member is now taken for the primary.
+    Accepted,
+    /// The member is no longer taken for the primary.
+    Revoked,
+    /// A statement that the member is the primary was not believed, since newer statements contradict it.
+    ClaimIgnored,
+}
+
+/// An event about the primary of a group, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PrimaryEvent {
+    /// The group.
+    pub group: GroupId,
+    /// The member that the event concerns.
+    pub member: MemberId,
+    /// What happened.
+    pub kind: PrimaryEventKind,
+    /// By what the router learned it.
+    pub source: RoleSource,
+    /// Age of the member's known replication position; `None` if none is known.
+    pub position_age: Option<Micros>,
+}
+
 /// A message between the zone planners of different routers by which they lend each other parts of a shared
 /// spill limit.
 #[derive(Clone, Debug, PartialEq)]
@@ -489,6 +528,8 @@
     SetTimer(Micros),
     /// Subscribe to the membership list.
     Subscribe,
+    /// Report an event about a group's primary. It asks for nothing to be done.
+    ReportPrimary(PrimaryEvent),
     /// Write a line to the log.
     Log(String),
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod broadcast;
 pub mod probe_share;
+mod roles;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -129,6 +130,8 @@
     active_groups: BTreeSet<GroupId>,
     /// When to subscribe to the membership list again after a failure.
     resubscribe_at: Option<Micros>,
+    /// Events about primaries that are still to be reported.
+    primary_events: Vec<PrimaryEvent>,
 }
 
 impl Router {
@@ -165,6 +168,7 @@
             Event::SpillLoans(..) => {}
             Event::Timer => self.on_timer(actions),
         }
+        actions.extend(self.primary_events.drain(..).map(Action::ReportPrimary));
     }
 
     /// Applies an event of the membership list.
@@ -199,8 +203,7 @@
     fn on_entry(&mut self, entry: &ListEntry) {
         let new = Member { id: entry.member, limit: INITIAL_LIMIT, ..Member::default() };
         let member = self.members.entry(entry.member).or_insert(new);
-        let newly_primary = entry.primary && !member.listed_primary;
-        (member.group, member.zone, member.listed_primary) = (entry.group, entry.zone, entry.primary);
+        (member.group, member.zone) = (entry.group, entry.zone);
         member.unlisted = entry.listed == ListedState::Gone;
         member.excluded = match entry.listed {
             ListedState::Ready => false,
@@ -211,20 +214,8 @@
         if restarted {
             (member.started_at, member.failures, member.unanswered) = (entry.started_at, 0, 0);
         }
-        let group = self.groups.entry(entry.group).or_default();
-        group.members.insert(entry.member);
-        // The list is delayed. It therefore decides on the primary only where nothing better is known, only
-        // when it newly names this member, and not if the member has recently stated that it is not the
-        // primary.
-        let recently_denied =
-            member.denied_primary_at > 0 && self.now <= member.denied_primary_at + PROBE_PERIOD;
-        if newly_primary && group.primary.is_none() && !member.excluded && !recently_denied {
-            group.primary = Some((entry.member, 0));
-        }
-        let outdated = |(p, evidence_at)| {
-            restarted && p == entry.member && evidence_at > 0 && Some(evidence_at) < member.started_at
-        };
-        group.primary = group.primary.filter(|known| !outdated(*known));
+        self.groups.entry(entry.group).or_default().members.insert(entry.member);
+        self.record_listed_role(entry, restarted);
     }
 
     /// Applies advice of the zone planner.
@@ -281,57 +272,6 @@
         pending.attempt_sent_at.is_none() && admitted.is_empty() && !blocked.is_empty()
     }
 
-    /// Records what a member stated about itself; `evidence_from` is the time to which the statement applies.
-    fn record_evidence(
-        &mut self,
-        id: MemberId,
-        position: Option<Micros>,
-        role: Option<Role>,
-        evidence_from: Micros,
-    ) {
-        // A position ahead of the clock cannot be true.
-        let plausible = position.is_none_or(|p| p <= self.now);
-        let Some(member) = self.members.get_mut(&id).filter(|_| plausible) else { return };
-        let group = self.groups.entry(member.group).or_default();
-        let confirmed_primary = role == Some(Role::Primary)
-            && group.primary.is_some_and(|(p, evidence_at)| p == id && evidence_at > 0);
-        if let Some(p) = position.filter(|&p| p >= member.position) {
-            (member.position, member.position_learned_at) = (p, self.now);
-            // Routers that may exchange messages tell each other what none has told recently, which saves
-            // probes.
-            if self.broadcast.is_news(p, confirmed_primary, member.shared_at, self.now) {
-                member.shared_at = self.now;
-                self.broadcast.add(MemberUpdate { member: id, position: p, role });
-            }
-        }
-        let (believed_primary, evidence_at) =
-            group.primary.map_or((false, 0), |(p, evidence_at)| (p == id, evidence_at));
-        if role == Some(Role::Primary)
-            && evidence_from > member.denied_primary_at
-            && (believed_primary || evidence_from > evidence_at)
-        {
-            group.primary = Some((id, evidence_from.max(evidence_at)));
-        } else if role == Some(Role::Replica) && (!believed_primary || evidence_from >= evidence_at) {
-            member.denied_primary_at = member.denied_primary_at.max(evidence_from);
-            group.primary = group.primary.filter(|_| !believed_primary);
-        }
-    }
-
-    /// Records a member's report. It applies to the time of its position, which for a primary was the
-    /// present.
-    fn record_report(&mut self, id: MemberId, report: &Report) {
-        report.position.into_iter().for_each(|at| self.record_evidence(id, Some(at), report.role, at));
-    }
-
-    /// Records updates from a peer. Like a report, an update applies to the time of its position.
-    fn on_peer_updates(&mut self, updates: &[MemberUpdate]) {
-        self.broadcast.on_peer_message(self.now);
-        for update in updates {
-            self.members.get_mut(&update.member).into_iter().for_each(|member| member.shared_at = self.now);
-            self.record_evidence(update.member, Some(update.position), update.role, update.position);
-        }
-    }
-
     /// Updates a member's health, limit and service times from the result of an attempt.
     fn record_result(&mut self, ended: &AttemptResult, actions: &mut Vec<Action>) {
         let (id, outcome) = (ended.member, ended.outcome);
@@ -344,7 +284,7 @@
         // for sure.
         let position =
             ended.status.position.filter(|_| outcome != Outcome::Served || !self.is_write(attempt.class));
-        self.record_evidence(id, position, ended.status.role, now);
+        self.record_evidence(id, position, ended.status.role, now, RoleSource::Answer);
         let Some(member) = self.members.get_mut(&id) else { return };
         let (was_silent, tail) = (member.is_silent(), self.services[attempt.class].tail());
         // If the member has answered since this attempt was sent, the connection lost the answer, which says
