--- a/crates/driver/tests/common/member.rs
+++ b/crates/driver/tests/common/member.rs
@@ -113,6 +113,8 @@
     pub behaviour: Behaviour,
     /// How far its position is behind the clock.
     pub lag: Duration,
+    /// The position, in Unix milliseconds, at which it stands still, if it does.
+    pub stands_at: Option<u64>,
     /// How far its clock is behind that of this machine; negative: ahead.
     pub clock_behind_ms: i64,
     /// Values told with each answer instead of the true ones.
@@ -147,6 +149,7 @@
             leader,
             behaviour: Behaviour::Serve,
             lag: Duration::ZERO,
+            stands_at: None,
             clock_behind_ms: 0,
             lies: Vec::new(),
             pause: Duration::ZERO,
@@ -329,8 +332,9 @@
     }
 
     fn position(&self) -> u64 {
-        let (lag, behind) = self.set(|s| (s.lag, s.clock_behind_ms));
-        (unix_ms() - lag.as_millis() as u64).saturating_add_signed(-behind)
+        let (lag, behind, stands_at) = self.set(|s| (s.lag, s.clock_behind_ms, s.stands_at));
+        let now = stands_at.unwrap_or_else(unix_ms);
+        (now - lag.as_millis() as u64).saturating_add_signed(-behind)
     }
 
     fn report(&self) -> String {
