Reads rely on a primary that only the list names until it denies the role

Cause: the list names primaries seconds late. Where no primary was known, on_entry took the member that the list newly named, unless the member had denied its role within the last second. A primary that was cut off, had said that it was none, and was named by a late list became the primary again, and reads go to a primary whatever its position is.

Change: a primary that only the list names serves reads only if it was named at the router's start (or members can't be probed) and has never denied the role; it gets writes as before, which a replica rejects. Until it has spoken itself the group's members are probed. A member that moves to another group starts without what it stated in the former one.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -187,7 +187,7 @@
             let missing = self.members.values_mut().filter(|m| !listed.contains(&m.id));
             missing.for_each(|m| (m.unlisted, m.excluded) = (true, m.excluded || binds));
         }
-        entries.iter().for_each(|entry| self.on_entry(entry));
+        entries.iter().for_each(|entry| self.on_entry(kind, entry));
         if kind == ListKind::Cached {
             let members = self.members.keys().map(|id| (*id, 0)).collect();
             let own_part = self.probe_share.assigned(members, Some(1), 1, &mut self.random);
@@ -200,9 +200,14 @@
     }
 
     /// Applies one entry of the membership list.
-    fn on_entry(&mut self, entry: &ListEntry) {
+    fn on_entry(&mut self, kind: ListKind, entry: &ListEntry) {
         let new = Member { id: entry.member, limit: INITIAL_LIMIT, ..Member::default() };
         let member = self.members.entry(entry.member).or_insert(new);
+        if member.group != entry.group {
+            // What it stated concerns the log of its former group.
+            (member.position, member.position_learned_at, member.denied_primary_at) = (0, 0, 0);
+            member.listed_primary = false;
+        }
         (member.group, member.zone) = (entry.group, entry.zone);
         member.unlisted = entry.listed == ListedState::Gone;
         member.excluded = match entry.listed {
@@ -215,7 +220,7 @@
             (member.started_at, member.failures, member.unanswered) = (entry.started_at, 0, 0);
         }
         self.groups.entry(entry.group).or_default().members.insert(entry.member);
-        self.record_listed_role(entry, restarted);
+        self.record_listed_role(kind, entry, restarted);
     }
 
     /// Applies advice of the zone planner.
@@ -389,8 +394,14 @@
 
     /// Returns the last known primary of a group, unless it must not get new requests.
     fn primary(&self, group: GroupId) -> Option<&Member> {
-        let (id, _) = self.groups.get(&group)?.primary?;
-        self.members.get(&id).filter(|m| !m.excluded)
+        let known = self.groups.get(&group)?.primary?;
+        self.members.get(&known.member).filter(|m| !m.excluded && m.group == group)
+    }
+
+    /// Returns whether the member is the last known primary of its group and reads may rely on that.
+    fn is_primary_for_reads(&self, member: &Member) -> bool {
+        let known = self.groups.get(&member.group).and_then(|group| group.primary);
+        self.is_primary(member) && known.is_some_and(|primary| primary.serves_reads)
     }
 
     /// Returns whether the member is the last known primary of its group.
@@ -624,10 +635,14 @@
 
     /// Repeats the part of that check whose result time and new evidence may change while a send is delayed.
     fn may_still_send(&self, pending: &PendingRequest, member: &Member) -> bool {
-        let fresh = self.is_primary(member) || self.is_fresh_enough(pending, member);
+        let sufficient = if self.is_write(pending.class) {
+            self.is_primary(member)
+        } else {
+            self.is_primary_for_reads(member) || self.is_fresh_enough(pending, member)
+        };
         !member.excluded
             && member.group == pending.group
-            && fresh
+            && sufficient
             && self.now < pending.expires_at
             && self.may_repeat(pending, Some(member))
     }
@@ -848,7 +863,8 @@
     fn probe_stale_replicas(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(pending) = self.pending.get(&id) else { return };
         let Consistency::Bounded(bound) = self.settings.classes[pending.class].consistency else { return };
-        let replicas = self.group_members(pending.group).filter(|m| !m.excluded && !self.is_primary(m));
+        let replicas =
+            self.group_members(pending.group).filter(|m| !m.excluded && !self.is_primary_for_reads(m));
         let (fresh, stale): (Vec<&Member>, Vec<&Member>) =
             replicas.partition(|m| self.is_fresh_enough(pending, m));
         // Stale replicas of the nearest tier are probed while others are fresh too, since nothing else would
@@ -912,8 +928,11 @@
     /// queued; these intervals grow with the primary's silence.
     fn probe_unhealthy_members(&mut self, id: GroupId, actions: &mut Vec<Action>) {
         let Some(group) = self.groups.get(&id) else { return };
-        let silent_for = group.primary.map_or(0, |(_, seen)| self.now.saturating_sub(seen));
-        let primary_lost = self.primary(id).is_none_or(|p| silent_for > PROBE_PERIOD && !self.is_healthy(p));
+        let relied_on = group.primary.filter(|primary| primary.serves_reads);
+        let silent_for = relied_on.map_or(0, |primary| self.now.saturating_sub(primary.evidence_at));
+        let primary_lost = self.primary(id).is_none_or(|p| {
+            !self.is_primary_for_reads(p) || silent_for > PROBE_PERIOD && !self.is_healthy(p)
+        });
         let search_pause =
             (primary_lost && !group.queue.is_empty()).then_some(silent_for / SEARCH_SILENCE_DIVISOR);
         let doublings =
--- a/src/policy/roles.rs
+++ b/src/policy/roles.rs
@@ -4,24 +4,33 @@
 use crate::interface::*;
 use crate::policy::probe_share::PROBE_PERIOD;
 use crate::policy::Router;
+use crate::records::KnownPrimary;
 
 impl Router {
     /// Records the role that a list entry names. The list is delayed. It therefore decides on the primary only
     /// where nothing better is known, only when it newly names this member, and not if the member has recently
-    /// stated that it is not the primary.
-    pub(super) fn record_listed_role(&mut self, entry: &ListEntry, restarted: bool) {
+    /// stated that it is not the primary. Writes may then be sent there, since a replica rejects them.
+    pub(super) fn record_listed_role(&mut self, kind: ListKind, entry: &ListEntry, restarted: bool) {
         let Some(member) = self.members.get_mut(&entry.member) else { return };
         let newly_primary = entry.primary && !member.listed_primary;
         member.listed_primary = entry.primary;
-        let recently_denied =
-            member.denied_primary_at > 0 && self.now <= member.denied_primary_at + PROBE_PERIOD;
+        let has_denied = member.denied_primary_at > 0;
+        let recently_denied = has_denied && self.now <= member.denied_primary_at + PROBE_PERIOD;
         let (excluded, started_at) = (member.excluded, member.started_at);
         let known = self.groups.entry(entry.group).or_default().primary;
         if newly_primary && known.is_none() && !excluded && !recently_denied {
-            self.accept_primary(entry.group, entry.member, 0, RoleSource::List);
+            // At the start of the router no member has stated anything yet. Later, a member may have denied
+            // its role and been forgotten since, so its own word is awaited where it can be asked.
+            let at_start = kind == ListKind::Cached || !self.settings.limits.probes;
+            let serves_reads = at_start && !has_denied;
+            let listed = KnownPrimary { member: entry.member, evidence_at: 0, serves_reads };
+            self.accept_primary(entry.group, listed, RoleSource::List);
         }
-        let outdated = |(id, evidence_at)| {
-            restarted && id == entry.member && evidence_at > 0 && Some(evidence_at) < started_at
+        let outdated = |primary: KnownPrimary| {
+            restarted
+                && primary.member == entry.member
+                && primary.evidence_at > 0
+                && Some(primary.evidence_at) < started_at
         };
         if known.is_some_and(outdated) {
             self.revoke_primary(entry.group, RoleSource::List);
@@ -42,8 +51,8 @@
         let Some(member) = self.members.get_mut(&id).filter(|_| plausible) else { return };
         let (group_id, denied_at) = (member.group, member.denied_primary_at);
         let group = self.groups.entry(group_id).or_default();
-        let confirmed_primary = role == Some(Role::Primary)
-            && group.primary.is_some_and(|(p, evidence_at)| p == id && evidence_at > 0);
+        let confirmed_primary =
+            role == Some(Role::Primary) && group.primary.is_some_and(|p| p.member == id && p.evidence_at > 0);
         if let Some(p) = position.filter(|&p| p >= member.position) {
             (member.position, member.position_learned_at) = (p, self.now);
             // Routers that may exchange messages tell each other what none has told recently, which saves
@@ -54,12 +63,14 @@
             }
         }
         let (believed_primary, evidence_at) =
-            group.primary.map_or((false, 0), |(p, evidence_at)| (p == id, evidence_at));
+            group.primary.map_or((false, 0), |p| (p.member == id, p.evidence_at));
         match role {
             Some(Role::Primary)
                 if evidence_from > denied_at && (believed_primary || evidence_from > evidence_at) =>
             {
-                self.accept_primary(group_id, id, evidence_from.max(evidence_at), source);
+                let evidence_at = evidence_from.max(evidence_at);
+                let stated = KnownPrimary { member: id, evidence_at, serves_reads: true };
+                self.accept_primary(group_id, stated, source);
             }
             Some(Role::Primary) => self.report_primary(group_id, id, PrimaryEventKind::ClaimIgnored, source),
             Some(Role::Replica) if !believed_primary || evidence_from >= evidence_at => {
@@ -89,22 +100,18 @@
         }
     }
 
-    /// Takes a member for the primary of its group, on evidence that holds for `evidence_at`; 0 if only the
-    /// list names it.
-    fn accept_primary(&mut self, id: GroupId, member: MemberId, evidence_at: Micros, source: RoleSource) {
-        let group = self.groups.entry(id).or_default();
-        let previous = group.primary.replace((member, evidence_at));
-        if previous.is_none_or(|(known, _)| known != member) {
-            self.report_primary(id, member, PrimaryEventKind::Accepted, source);
+    /// Takes a member for the primary of its group.
+    fn accept_primary(&mut self, id: GroupId, primary: KnownPrimary, source: RoleSource) {
+        let previous = self.groups.entry(id).or_default().primary.replace(primary);
+        if previous.is_none_or(|known| known.member != primary.member) {
+            self.report_primary(id, primary.member, PrimaryEventKind::Accepted, source);
         }
     }
 
     /// Takes no member for the primary of the group any more.
     fn revoke_primary(&mut self, id: GroupId, source: RoleSource) {
-        let Some((member, _)) = self.groups.get_mut(&id).and_then(|group| group.primary.take()) else {
-            return;
-        };
-        self.report_primary(id, member, PrimaryEventKind::Revoked, source);
+        let Some(known) = self.groups.get_mut(&id).and_then(|group| group.primary.take()) else { return };
+        self.report_primary(id, known.member, PrimaryEventKind::Revoked, source);
     }
 
     /// Notes an event about a primary, which is reported with the actions of the event that is handled.
--- a/src/records.rs
+++ b/src/records.rs
@@ -36,7 +36,7 @@
     pub(crate) position_learned_at: Micros,
     /// Last time at which the member rejected a read because it lags too far behind.
     pub(crate) lag_rejected_at: Micros,
-    /// Last time for which the member stated that it is not the primary.
+    /// Latest time at which the member may have stated that it is not the primary; 0 if it never did.
     pub(crate) denied_primary_at: Micros,
     /// When routers last told each other about the member.
     pub(crate) shared_at: Micros,
@@ -69,13 +69,24 @@
     pub(crate) load: f64,
 }
 
+/// The member that a router takes for the primary of a group.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KnownPrimary {
+    /// The member.
+    pub(crate) member: MemberId,
+    /// Time for which the evidence holds; 0 if only the list names the member.
+    pub(crate) evidence_at: Micros,
+    /// Whether reads may rely on its role. If not, only writes are sent there, which a replica rejects.
+    pub(crate) serves_reads: bool,
+}
+
 /// What a router knows of a group.
 #[derive(Default)]
 pub(crate) struct Group {
     /// Members of the group.
     pub(crate) members: BTreeSet<MemberId>,
-    /// Last known primary, and the time for which the evidence holds; 0 if only the list names it.
-    pub(crate) primary: Option<(MemberId, Micros)>,
+    /// Last known primary.
+    pub(crate) primary: Option<KnownPrimary>,
     /// When a request last named the group.
     pub(crate) last_request_at: Micros,
     /// Requests that wait for a member.
--- /dev/null
+++ b/tests/roles.rs
@@ -0,0 +1,111 @@
+//! Who is taken for the primary, and by whose word. Each test sends a read of bounded age where a member that
+//! states it is no primary stands still, and every replica is too far behind.
+
+mod common;
+
+use beaconshore::interface::*;
+use common::*;
+
+/// How long positions have stood still by the time of the read: far beyond the bound.
+const STOOD_STILL: Micros = 4_000 * MS;
+
+/// A group whose primary (1) has been deposed: it answered as a replica, and all positions stand still since.
+struct Deposed {
+    fixture: Fixture,
+    /// The position at which all members stand.
+    stands_at: Micros,
+}
+
+impl Deposed {
+    /// Ends a read at member 1 by an answer as a replica.
+    fn by_answer() -> Deposed {
+        let mut deposed = Deposed::not_told();
+        deposed.answer_as(Role::Replica);
+        deposed
+    }
+
+    /// The same group before anybody told the router.
+    fn not_told() -> Deposed {
+        let mut fixture = Fixture::new();
+        let stands_at = fixture.now;
+        let (id, actions) = fixture.request(WRITE);
+        assert_eq!(sent_to(&actions, id), Some(1));
+        fixture.now += 10 * MS;
+        let status = ReplyStatus { position: Some(stands_at), role: Some(Role::Primary) };
+        fixture.end_attempt(id, 1, Outcome::Served, status);
+        fixture.now += STOOD_STILL;
+        Deposed { fixture, stands_at }
+    }
+
+    /// An attempt at member 1 that is answered in this role, with the position at which it stands. Its client
+    /// has left, so that it is not repeated.
+    fn answer_as(&mut self, role: Role) {
+        let (id, actions) = self.fixture.request(WRITE);
+        assert_eq!(sent_to(&actions, id), Some(1));
+        self.fixture.event(Event::ClientDisconnected(id));
+        self.fixture.now += 10 * MS;
+        let status = ReplyStatus { position: Some(self.stands_at), role: Some(role) };
+        self.fixture.end_attempt(id, 1, Outcome::Error, status);
+    }
+
+    /// Takes a read of bounded age, and answers the probes that it waits for. Returns where it is sent.
+    fn read(&mut self, budget: Micros) -> (RequestId, Option<u32>) {
+        let (id, mut actions) = self.fixture.request_with(READ, budget, |_| {});
+        for member in [2, 3] {
+            let lagging = self.stands_at.min(self.fixture.now - STOOD_STILL);
+            actions.extend(self.fixture.answer_probe(member, lagging, false));
+        }
+        (id, sent_to(&actions, id))
+    }
+
+    /// Asserts that a read of bounded age is sent to nobody.
+    fn assert_no_read_is_sent(&mut self) {
+        let (id, mut actions) = self.fixture.request_with(READ, 1_000 * MS, |_| {});
+        for _ in 0..10 {
+            actions.extend(self.fixture.advance(100 * MS));
+            (1..=3).for_each(|m| actions.extend(self.fixture.answer_probe(m, self.stands_at, false)));
+        }
+        assert_eq!(sent_to(&actions, id), None, "no member's data is known to be fresh enough");
+    }
+}
+
+#[test]
+fn a_list_that_names_a_former_primary_late_sends_it_no_read() {
+    let mut deposed = Deposed::by_answer();
+    for _ in 0..20 {
+        deposed.fixture.advance(500 * MS);
+        deposed.fixture.update_list(ListKind::Delta, &[entry(1, 0, false)]);
+        deposed.fixture.update_list(ListKind::Delta, &[entry(1, 0, true)]);
+        deposed.assert_no_read_is_sent();
+    }
+}
+
+#[test]
+fn a_whole_list_that_still_names_a_former_primary_sends_it_no_read() {
+    let mut deposed = Deposed::by_answer();
+    deposed.fixture.update_list(ListKind::Full, &[entry(2, 0, false), entry(3, 1, false)]);
+    deposed.fixture.advance(2_000 * MS);
+    deposed.fixture.update_list(ListKind::Full, &entries());
+    deposed.assert_no_read_is_sent();
+}
+
+#[test]
+fn a_peers_old_word_does_not_bring_back_a_former_primary() {
+    let mut deposed = Deposed::by_answer();
+    for age in [0, 5, 20] {
+        let position = deposed.stands_at + age * MS;
+        let update = MemberUpdate { member: MemberId(1), position, role: Some(Role::Primary) };
+        deposed.fixture.event(Event::PeerUpdates(vec![update]));
+        deposed.assert_no_read_is_sent();
+    }
+}
+
+#[test]
+fn a_former_primary_that_is_elected_again_gets_reads_and_writes_again() {
+    let mut deposed = Deposed::by_answer();
+    deposed.fixture.now += 10 * MS;
+    deposed.stands_at = deposed.fixture.now;
+    deposed.fixture.answer_probe(1, deposed.stands_at, true);
+    deposed.answer_as(Role::Primary);
+    assert_eq!(deposed.read(1_000 * MS).1, Some(1));
+}
