Statements on roles count from or to the time at which they may have been made

So a late answer brought a deposed primary back, and a probe that denied the role counted as older than the claim that it refutes. A denial with a position ahead of the clock, without a position, or with a failed probe was dropped. The commit of a write whose answer was lost counted as a position.

Change (src/policy/roles.rs): each statement carries the earliest and the latest time at which it may have been made. A claim counts from the earliest: a primary's position is the present, else the send of the request. A denial counts up to the latest, its arrival; only a peer's, whose way may take any time, counts by its position. A report's role gives way to the role in the answer that it came with, which is newer.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -279,17 +279,11 @@
 
     /// Updates a member's health, limit and service times from the result of an attempt.
     fn record_result(&mut self, ended: &AttemptResult, actions: &mut Vec<Action>) {
-        let (id, outcome) = (ended.member, ended.outcome);
-        self.record_report(id, &ended.report);
-        let now = self.now;
+        let (id, outcome, now) = (ended.member, ended.outcome, self.now);
         let Some(member) = self.members.get_mut(&id) else { return };
         let Some(index) = member.open.iter().position(|o| o.request == ended.request) else { return };
         let attempt = member.open.swap_remove(index);
-        // The status of a served write states its commit, which is no position that the member has reached
-        // for sure.
-        let position =
-            ended.status.position.filter(|_| outcome != Outcome::Served || !self.is_write(attempt.class));
-        self.record_evidence(id, position, ended.status.role, now, RoleSource::Answer);
+        self.record_answer(ended, attempt.sent_at, self.is_write(attempt.class));
         let Some(member) = self.members.get_mut(&id) else { return };
         let (was_silent, tail) = (member.is_silent(), self.services[attempt.class].tail());
         // If the member has answered since this attempt was sent, the connection lost the answer, which says
@@ -370,10 +364,10 @@
                 Some(self.now).filter(|_| member.probe_unanswered && member.failures >= DROP_FAILURES);
             (member.started_at, member.failures, member.probe_unanswered) =
                 (member.started_at.max(restarted), 0, false);
-            self.record_report(id, report);
         } else {
             (member.failures, member.probe_unanswered) = (member.failures + 1, true);
         }
+        self.record_report(id, report);
         self.serve_queue(group, actions);
     }
 
--- a/src/policy/roles.rs
+++ b/src/policy/roles.rs
@@ -1,11 +1,35 @@
-//! Who is the primary of a group, and how far its members have the log: what statements on this are believed.
-//! Statements come from members themselves, from other routers and from the membership list; all may be late.
+//! Who is the primary of a group, and how far its members have the log: which statements on this are believed.
+//!
+//! Statements come from members themselves, from other routers and from the membership list, and all may be
+//! late. A statement that a member is the primary therefore counts from the earliest time at which it may have
+//! been made, a statement that it is not counts up to the latest. Reads rely on the former only while it is
+//! the newer of the two.
 
 use crate::interface::*;
 use crate::policy::probe_share::PROBE_PERIOD;
 use crate::policy::Router;
 use crate::records::KnownPrimary;
 
+/// Members state positions in whole milliseconds, and round commits up, in microseconds.
+const POSITION_RESOLUTION: Micros = 1_000;
+
+/// What a member stated about itself, with the bounds on when it did.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Statement {
+    /// The member.
+    pub(super) member: MemberId,
+    /// Replication position that it had reached.
+    pub(super) position: Option<Micros>,
+    /// Its role.
+    pub(super) role: Option<Role>,
+    /// Earliest time at which it may have made the statement; `None` if that cannot be told.
+    pub(super) not_before: Option<Micros>,
+    /// Latest time at which it may have made the statement.
+    pub(super) not_after: Micros,
+    /// How the statement arrived.
+    pub(super) source: RoleSource,
+}
+
 impl Router {
     /// Records the role that a list entry names. The list is delayed. It therefore decides on the primary only
     /// where nothing better is known, only when it newly names this member, and not if the member has recently
@@ -37,66 +61,128 @@
         }
     }
 
-    /// Records what a member stated about itself; `evidence_from` is the time to which the statement applies.
-    pub(super) fn record_evidence(
-        &mut self,
-        id: MemberId,
-        position: Option<Micros>,
-        role: Option<Role>,
-        evidence_from: Micros,
-        source: RoleSource,
-    ) {
+    /// Records what a member stated about itself.
+    pub(super) fn record_statement(&mut self, statement: Statement) {
         // A position ahead of the clock cannot be true.
-        let plausible = position.is_none_or(|p| p <= self.now);
-        let Some(member) = self.members.get_mut(&id).filter(|_| plausible) else { return };
-        let (group_id, denied_at) = (member.group, member.denied_primary_at);
-        let group = self.groups.entry(group_id).or_default();
-        let confirmed_primary =
-            role == Some(Role::Primary) && group.primary.is_some_and(|p| p.member == id && p.evidence_at > 0);
-        if let Some(p) = position.filter(|&p| p >= member.position) {
-            (member.position, member.position_learned_at) = (p, self.now);
-            // Routers that may exchange messages tell each other what none has told recently, which saves
-            // probes.
-            if self.broadcast.is_news(p, confirmed_primary, member.shared_at, self.now) {
-                member.shared_at = self.now;
-                self.broadcast.add(MemberUpdate { member: id, position: p, role });
-            }
+        let position = statement.position.filter(|p| *p <= self.now);
+        let is_dated = position.is_some() || statement.position.is_none();
+        let role = statement.role;
+        if let Some(position) = position {
+            self.record_position(statement.member, position, role);
         }
-        let (believed_primary, evidence_at) =
-            group.primary.map_or((false, 0), |p| (p.member == id, p.evidence_at));
+        let not_before = statement.not_before.filter(|at| is_dated && *at <= self.now);
         match role {
-            Some(Role::Primary)
-                if evidence_from > denied_at && (believed_primary || evidence_from > evidence_at) =>
-            {
-                let evidence_at = evidence_from.max(evidence_at);
-                let stated = KnownPrimary { member: id, evidence_at, serves_reads: true };
-                self.accept_primary(group_id, stated, source);
-            }
-            Some(Role::Primary) => self.report_primary(group_id, id, PrimaryEventKind::ClaimIgnored, source),
-            Some(Role::Replica) if !believed_primary || evidence_from >= evidence_at => {
-                member.denied_primary_at = denied_at.max(evidence_from);
-                if believed_primary {
-                    self.revoke_primary(group_id, source);
-                }
+            Some(Role::Primary) => self.record_claim(statement.member, not_before, statement.source),
+            Some(Role::Replica) => self.record_denial(&statement),
+            None => {}
+        }
+    }
+
+    /// Records a position that a member has reached, and what to tell the other routers of it.
+    fn record_position(&mut self, id: MemberId, position: Micros, role: Option<Role>) {
+        let Some(member) = self.members.get_mut(&id).filter(|m| position >= m.position) else { return };
+        let known = self.groups.get(&member.group).and_then(|group| group.primary);
+        let confirmed_primary =
+            role == Some(Role::Primary) && known.is_some_and(|p| p.member == id && p.evidence_at > 0);
+        (member.position, member.position_learned_at) = (position, self.now);
+        // Routers that may exchange messages tell each other what none has told recently, which saves probes.
+        if self.broadcast.is_news(position, confirmed_primary, member.shared_at, self.now) {
+            member.shared_at = self.now;
+            self.broadcast.add(MemberUpdate { member: id, position, role });
+        }
+    }
+
+    /// Records that a member stated to be the primary, at `not_before` at the earliest.
+    fn record_claim(&mut self, id: MemberId, not_before: Option<Micros>, source: RoleSource) {
+        let Some(member) = self.members.get(&id) else { return };
+        let (group, denied_at) = (member.group, member.denied_primary_at);
+        let known = self.groups.entry(group).or_default().primary;
+        let (is_known, evidence_at) = known.map_or((false, 0), |p| (p.member == id, p.evidence_at));
+        match not_before.filter(|at| *at > denied_at && (is_known || *at > evidence_at)) {
+            Some(at) => {
+                let evidence_at = at.max(evidence_at);
+                self.accept_primary(
+                    group,
+                    KnownPrimary { member: id, evidence_at, serves_reads: true },
+                    source,
+                );
             }
-            _ => {}
+            None if is_known => {}
+            None => self.report_primary(group, id, PrimaryEventKind::ClaimIgnored, source),
+        }
+    }
+
+    /// Records that a member stated not to be the primary.
+    fn record_denial(&mut self, statement: &Statement) {
+        let (id, not_after) = (statement.member, statement.not_after);
+        let Some(member) = self.members.get_mut(&id) else { return };
+        let known = self.groups.get(&member.group).and_then(|group| group.primary);
+        let contradicted = known.filter(|p| p.member == id);
+        if contradicted.is_some_and(|p| not_after < p.evidence_at) {
+            return;
+        }
+        member.denied_primary_at = member.denied_primary_at.max(not_after);
+        let group = member.group;
+        if contradicted.is_some() {
+            self.revoke_primary(group, statement.source);
         }
     }
 
-    /// Records a member's report. It applies to the time of its position, which for a primary was the
-    /// present.
+    /// Records what a member stated with its answer to an attempt.
+    pub(super) fn record_answer(&mut self, ended: &AttemptResult, sent_at: Micros, is_write: bool) {
+        let ReplyStatus { position, role } = ended.status;
+        // A served write states its commit, which is no position that the member has reached for sure. The
+        // same holds for a write whose answer was lost in part.
+        let may_be_commit = is_write
+            && matches!(
+                ended.outcome,
+                Outcome::Served | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled
+            );
+        let stated_from = match position {
+            Some(commit) if may_be_commit => commit.saturating_sub(POSITION_RESOLUTION),
+            // A primary has reached the present.
+            Some(position) => position,
+            None => sent_at,
+        };
+        let report_role = ended.report.role.filter(|_| role.is_none());
+        self.record_report(ended.member, &Report { role: report_role, ..ended.report });
+        self.record_statement(Statement {
+            member: ended.member,
+            position: position.filter(|_| !may_be_commit),
+            role,
+            not_before: Some(stated_from),
+            not_after: self.now,
+            source: RoleSource::Answer,
+        });
+    }
+
+    /// Records a member's report. It may be older than the answer that it came with; a primary's applies to
+    /// the time of its position.
     pub(super) fn record_report(&mut self, id: MemberId, report: &Report) {
-        let Some(at) = report.position else { return };
-        self.record_evidence(id, Some(at), report.role, at, RoleSource::Report);
+        self.record_statement(Statement {
+            member: id,
+            position: report.position,
+            role: report.role,
+            not_before: report.position,
+            not_after: self.now,
+            source: RoleSource::Report,
+        });
     }
 
-    /// Records updates from a peer. Like a report, an update applies to the time of its position.
+    /// Records updates from a peer. How long they were on their way is unknown: an update applies to the time
+    /// of its position.
     pub(super) fn on_peer_updates(&mut self, updates: &[MemberUpdate]) {
         self.broadcast.on_peer_message(self.now);
         for update in updates {
             self.members.get_mut(&update.member).into_iter().for_each(|member| member.shared_at = self.now);
-            let at = update.position;
-            self.record_evidence(update.member, Some(at), update.role, at, RoleSource::Peer);
+            self.record_statement(Statement {
+                member: update.member,
+                position: Some(update.position),
+                role: update.role,
+                not_before: Some(update.position),
+                not_after: update.position.min(self.now),
+                source: RoleSource::Peer,
+            });
         }
     }
 
--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -89,6 +89,49 @@
     deposed.assert_no_read_is_sent();
 }
 
+#[test]
+fn a_probe_that_denies_the_role_ends_the_reads_at_a_former_primary() {
+    let mut deposed = Deposed::not_told();
+    let at = deposed.stands_at;
+    deposed.fixture.answer_probe(1, at, false);
+    deposed.assert_no_read_is_sent();
+}
+
+#[test]
+fn a_denial_counts_whatever_position_comes_with_it() {
+    for ahead in [-500, -1, 0, 1, 500] {
+        let mut deposed = Deposed::not_told();
+        let position = deposed.fixture.now.saturating_add_signed(ahead * MS as i64);
+        deposed.fixture.answer_probe(1, position, false);
+        let (id, actions) = deposed.fixture.request(WRITE);
+        assert_eq!(sent_to(&actions, id), None, "{ahead} ms ahead: it is no primary any more");
+    }
+}
+
+#[test]
+fn an_answer_that_arrives_late_does_not_bring_back_a_former_primary() {
+    let mut deposed = Deposed::not_told();
+    let (late, member) = deposed.read(2_000 * MS);
+    assert_eq!(member, Some(1));
+    deposed.answer_as(Role::Replica);
+    deposed.fixture.now += 300 * MS;
+    let claim = ReplyStatus { position: Some(deposed.stands_at + 20 * MS), role: Some(Role::Primary) };
+    deposed.fixture.end_attempt(late, 1, Outcome::Served, claim);
+    deposed.assert_no_read_is_sent();
+}
+
+#[test]
+fn an_answer_without_a_position_counts_from_its_request_only() {
+    let mut deposed = Deposed::not_told();
+    let (late, member) = deposed.read(2_000 * MS);
+    assert_eq!(member, Some(1));
+    deposed.answer_as(Role::Replica);
+    deposed.fixture.now += 300 * MS;
+    let claim = ReplyStatus { position: None, role: Some(Role::Primary) };
+    deposed.fixture.end_attempt(late, 1, Outcome::Served, claim);
+    deposed.assert_no_read_is_sent();
+}
+
 #[test]
 fn a_peers_old_word_does_not_bring_back_a_former_primary() {
     let mut deposed = Deposed::by_answer();
@@ -109,3 +152,40 @@
     deposed.answer_as(Role::Primary);
     assert_eq!(deposed.read(1_000 * MS).1, Some(1));
 }
+
+#[test]
+fn a_report_older_than_the_answer_it_comes_with_says_nothing_about_the_role() {
+    let mut fixture = Fixture::new();
+    fixture.now += 100 * MS;
+    let (id, actions) = fixture.request(WRITE);
+    assert_eq!(sent_to(&actions, id), Some(1));
+    fixture.now += 10 * MS;
+    let now = fixture.now;
+    let report = Report { position: Some(now - 80 * MS), role: Some(Role::Replica), ..Report::default() };
+    fixture.event(Event::AttemptEnded(AttemptResult {
+        request: id,
+        member: MemberId(1),
+        outcome: Outcome::Served,
+        status: ReplyStatus { position: Some(now - MS), role: Some(Role::Primary) },
+        duration: 10 * MS,
+        request_finished: true,
+        report,
+    }));
+    let (id, actions) = fixture.request(WRITE);
+    assert_eq!(sent_to(&actions, id), Some(1), "it was elected after that report");
+}
+
+#[test]
+fn a_commit_of_a_write_without_an_answer_is_no_position() {
+    for outcome in [Outcome::TimedOut, Outcome::Reset, Outcome::Cancelled] {
+        let mut deposed = Deposed::not_told();
+        let (id, actions) = deposed.fixture.request(WRITE);
+        assert_eq!(sent_to(&actions, id), Some(1));
+        deposed.fixture.now += 10 * MS;
+        let now = deposed.fixture.now;
+        let status = ReplyStatus { position: Some(now), role: None };
+        deposed.fixture.end_attempt(id, 1, outcome, status);
+        deposed.fixture.answer_probe(1, deposed.stands_at, false);
+        deposed.assert_no_read_is_sent();
+    }
+}
