Half an answer tells nothing but that a member is no primary; reproductions on sockets

What came with an answer that then broke off, timed out or went on with noise was used whole: its position, which may be a commit, and its claim to be the primary. Now only a denial is kept of it. A probe's role from its load report goes with the position of that report, not with a newer one that came beside it.

--- a/crates/driver/src/member/connection.rs
+++ b/crates/driver/src/member/connection.rs
@@ -51,13 +51,12 @@
     };
     let mut reply = Reply::awaited();
     match with_deadline(deadline, connection.read_reply(node, &mut reply)).await {
-        Some(ReplyEnd::Ready) => (reply, Some(connection)),
-        Some(ReplyEnd::Unusable | ReplyEnd::Malformed) => (reply, None),
-        None => {
-            reply.time_out();
-            (reply, None)
-        }
+        Some(ReplyEnd::Ready) => return (reply, Some(connection)),
+        Some(ReplyEnd::Unusable | ReplyEnd::Malformed) => {}
+        None => reply.time_out(),
     }
+    reply.self_report = reply.self_report.denial();
+    (reply, None)
 }
 
 /// Writes the whole query, as long as the attempt stays allowed. Otherwise returns the outcome, with the
@@ -149,6 +148,9 @@
         if let Some(value) = pg::find_single_value(&reply.answer.messages).filter(|_| has_report) {
             self_report.record_value(b"server_load", value);
         }
+        if end != ReplyEnd::Ready {
+            self_report = self_report.denial();
+        }
         // A malformed answer shows that the member is up, and nothing else.
         let outcome = if end == ReplyEnd::Malformed { Outcome::Served } else { reply.outcome };
         Ok((outcome, self_report.to_report(), (end == ReplyEnd::Ready).then_some(connection)))
--- a/crates/driver/src/member/self_report.rs
+++ b/crates/driver/src/member/self_report.rs
@@ -32,11 +32,26 @@
         }
     }
 
-    /// What a probe found out, as a report. A status that came with the answer counts as a report of the time
-    /// of its position.
+    /// What is still credible if the answer did not end as it should: that the member is not the primary.
+    /// Whether its position is that of the member or of a commit, and whether its role is that of the time of
+    /// the answer, is not certain then.
+    pub fn denial(&self) -> SelfReport {
+        let replica_only = |role: Option<Role>| role.filter(|role| *role == Role::Replica);
+        let status = ReplyStatus { position: None, role: replica_only(self.status.role) };
+        let report = Report { role: replica_only(self.report.role), ..Report::default() };
+        SelfReport { status, report }
+    }
+
+    /// What a probe found out, as a report. A role in the answer itself is newer than one in a load report,
+    /// and goes with the newer position. A role in a load report goes with the position there.
     pub fn to_report(&self) -> Report {
-        let position = self.report.position.max(self.status.position);
-        Report { position, role: self.status.role.or(self.report.role), ..self.report }
+        match self.status.role {
+            Some(role) => {
+                let position = self.report.position.max(self.status.position);
+                Report { position, role: Some(role), ..self.report }
+            }
+            None => Report { position: self.report.position.or(self.status.position), ..self.report },
+        }
     }
 }
 
--- a/crates/driver/tests/common/member.rs
+++ b/crates/driver/tests/common/member.rs
@@ -21,6 +21,8 @@
     Silent,
     /// Reads it and closes the connection.
     Close,
+    /// Reads it and closes the connection; answers probes.
+    CloseUnlessProbed,
     /// Starts a row, then closes the connection.
     HalfAnswer,
     /// Sends what is no message.
@@ -254,6 +256,7 @@
                 behaviour,
                 Behaviour::Afterthought
                     | Behaviour::Serve
+                    | Behaviour::CloseUnlessProbed
                     | Behaviour::CloseAfterAnswer
                     | Behaviour::Twice
                     | Behaviour::NoiseBehind
@@ -309,6 +312,7 @@
                 self.set(|s| s.holds -= 1);
                 return Ok(false);
             }
+            Behaviour::CloseUnlessProbed => return Ok(false),
             Behaviour::Close | Behaviour::Unwelcoming | Behaviour::Reject(_) => return Ok(false),
         }
         if whole {
--- a/crates/driver/tests/common/mod.rs
+++ b/crates/driver/tests/common/mod.rs
@@ -8,6 +8,7 @@
 pub mod driver;
 pub mod links;
 pub mod member;
+pub mod proxy;
 
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
