--- a/crates/emulator/src/faults.rs
+++ b/crates/emulator/src/faults.rs
@@ -3,7 +3,7 @@
 use beaconshore::interface::{ListedState, Micros};
 
 use crate::member::Health;
-use crate::plan::{Fault, Leave, Struck, DAWN};
+use crate::plan::{Fault, GroupPlan, Leave, Struck, DAWN};
 use crate::world::{Ev, World, ELECT_AGAIN};
 
 impl World<'_> {
@@ -188,9 +188,19 @@
         let wait = self.plan.groups.detect + self.plan.groups.elect;
         let wait = self.member_draws.around(wait, 0.2);
         let number = self.primaries[group].1;
+        let GroupPlan { detect, elect, .. } = &self.plan.groups;
+        let given_up = wait as f64 * detect / (detect + elect).max(1.0);
+        self.queue.after(given_up as Micros, Ev::GiveUp(group, number));
         self.queue.after(wait, Ev::Elect(group, number));
     }
 
+    /// A lost primary is given up: should it be back before the election, then as a replica.
+    pub(crate) fn give_up(&mut self, group: usize, number: u64) {
+        if self.primaries[group].1 == number && self.logs[group].ends.is_some() {
+            self.primaries[group].0 = None;
+        }
+    }
+
     fn come_back(&mut self, member: usize, behind: Micros) {
         let now = self.queue.now();
         if self.members[member].fallen || self.members[member].is_up() {
@@ -238,7 +248,7 @@
         self.members[member].applied.lead(&self.logs[group], now);
         self.members[member].was_primary = true;
         let role = self.discovery.role();
-        self.queue.after(role, Ev::NoticeRole(group));
+        self.queue.after(role, Ev::NoticeRole(group, member));
     }
 
     fn drain(&mut self, member: usize) {
@@ -275,10 +285,10 @@
         }
     }
 
-    pub(crate) fn notice_role(&mut self, group: usize) {
-        let primary = self.primaries[group].0;
+    /// The list names the member that took over some time ago.
+    pub(crate) fn notice_role(&mut self, group: usize, primary: usize) {
         for member in self.groups[group].clone() {
-            if self.discovery.change(member, |entry| entry.primary = Some(member) == primary) {
+            if self.discovery.change(member, |entry| entry.primary = member == primary) {
                 self.announce(member);
             }
         }
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -82,9 +82,10 @@
     Reset(Process, usize, u32),
     Strike(usize),
     Heal(usize, Vec<usize>),
+    GiveUp(usize, u64),
     Elect(usize, u64),
     Notice(usize, u32, ListedState),
-    NoticeRole(usize),
+    NoticeRole(usize, usize),
     Outside(Box<Order>),
     Second,
 }
@@ -263,9 +264,10 @@
             Ev::ProbeAt(process, member) => self.probe_at(process, member),
             Ev::Strike(strike) => self.strike(strike),
             Ev::Heal(strike, struck) => self.heal(strike, &struck),
+            Ev::GiveUp(group, number) => self.give_up(group, number),
             Ev::Elect(group, number) => self.elect(group, number),
             Ev::Notice(member, epoch, listed) => self.notice(member, epoch, listed),
-            Ev::NoticeRole(group) => self.notice_role(group),
+            Ev::NoticeRole(group, primary) => self.notice_role(group, primary),
             Ev::Outside(order) => self.order(|| *order),
             Ev::Second => self.second(),
         }
--- a/crates/emulator/tests/audit.rs
+++ b/crates/emulator/tests/audit.rs
@@ -123,3 +123,16 @@
     assert_eq!(found(0, told(50, Role::Primary)), [Rule::Stale], "an older word clears nothing");
     assert_eq!(found(0, told(500, Role::Replica)), [Rule::Stale]);
 }
+
+#[test]
+fn only_a_send_before_the_denial_is_excused() {
+    let read = |denials: &'static [Micros]| {
+        found(0, move |a: &mut Audit, p: &Plan| {
+            denials.iter().for_each(|at| a.role(0, 1, Role::Replica, DAWN + at * MS));
+            a.read(p, ID, (0, 1), (DAWN + 2_000 * MS, true), (DAWN + 3_000 * MS, DAWN + 3_050 * MS));
+        })
+    };
+    assert_eq!(read(&[3_000]), [], "told while it was out");
+    assert_eq!(read(&[2_999]), [Rule::Stale]);
+    assert_eq!(read(&[2_999, 3_040]), [Rule::Stale], "a second denial excuses nothing");
+}
