No position of a replica counts until the clock is known not to be behind

Cause, found on the walk through the class (conversion): a driver reads Unix time once, at its start. If the wall clock is then behind the members' by seconds, a replica that lags a little more looks as fresh as can be until three answers of primaries have shown the difference. A difference over a minute, such as a step of an hour, was never accepted, so no replica was used or no primary known. And three answers with one position, held up and read at once, passed for a difference.

The skew's own test now spaces its samples, since three at one moment are no evidence any more; nothing else of it changed.

--- a/crates/driver/src/clock.rs
+++ b/crates/driver/src/clock.rs
@@ -26,7 +26,12 @@
 
     /// The current time.
     pub fn now(&self) -> Micros {
-        self.unix_start + self.started_at.elapsed().as_micros() as Micros
+        self.unix_start + self.uptime()
+    }
+
+    /// The time since the clock was started, in microseconds.
+    pub fn uptime(&self) -> Micros {
+        self.started_at.elapsed().as_micros() as Micros
     }
 
     /// Converts a time of this clock for use with timers.
--- a/crates/driver/src/decision/mod.rs
+++ b/crates/driver/src/decision/mod.rs
@@ -184,7 +184,7 @@
             DecisionMessage::RequestAbandoned(id) => self.on_request_abandoned(id),
             DecisionMessage::AttemptEnded(end) => self.on_attempt_end(*end),
             DecisionMessage::ProbeEnded(member, outcome, mut report) => {
-                report.position = report.position.map(|p| self.node.clock_skew.to_local(p));
+                report.position = self.to_local_position(report.position, report.role);
                 self.handle(&Event::ProbeEnded { member, outcome, report });
             }
             DecisionMessage::FailOpenRequests => self.fail_open_requests(),
@@ -370,9 +370,8 @@
         if let Some(at) = status.position.filter(|_| status.role == Some(Role::Primary)) {
             self.compare_clocks(at);
         }
-        for position in [&mut status.position, &mut report.position] {
-            *position = position.map(|p| self.node.clock_skew.to_local(p));
-        }
+        status.position = self.to_local_position(status.position, status.role);
+        report.position = self.to_local_position(report.position, report.role);
         self.handle(&Event::AttemptEnded(AttemptResult {
             request,
             member,
@@ -397,11 +396,18 @@
     /// A state that a peer sent, as an update of a member. None if no member, or more than one, has its tag.
     fn to_member_update(&self, state: &MemberState) -> Option<MemberUpdate> {
         let [member] = self.tags.get(&state.member)?[..] else { return None };
-        Some(MemberUpdate {
-            member,
-            position: self.node.clock_skew.to_local(state.position),
-            role: state.role,
-        })
+        let position = self.to_local_position(Some(state.position), state.role)?;
+        Some(MemberUpdate { member, position, role: state.role })
+    }
+
+    /// Converts a position that a member stated, with its role, to this machine's clock. None while it is not
+    /// certain that this clock is not behind, since old positions would then look fresh.
+    fn to_local_position(&self, position: Option<Micros>, role: Option<Role>) -> Option<Micros> {
+        let (position, skew, clock) = (position?, &self.node.clock_skew, &self.node.clock);
+        if role == Some(Role::Primary) {
+            skew.compare(position, clock.now());
+        }
+        Some(skew.to_local(position)).filter(|_| skew.may_trust_positions(clock.uptime()))
     }
 
     // ---- Turning actions into messages ----
--- a/crates/driver/src/skew.rs
+++ b/crates/driver/src/skew.rs
@@ -4,6 +4,9 @@
 //! A primary sends its current time with each answer. The difference between that and the time of arrival is the difference
 //! of the clocks plus the time of the transfer, which is never negative. The least of many such values is therefore close to
 //! the difference of the clocks alone.
+//!
+//! Until a primary has shown that this machine's clock is not behind, a replica's position may look fresh though it is not.
+//! Such positions are then not used.
 
 use std::cell::Cell;
 
@@ -16,34 +19,75 @@
 /// Differences that count as none, in microseconds: transfers take up to that long, and times are sent in milliseconds.
 const NO_DIFFERENCE_US: std::ops::RangeInclusive<i64> = -2_000..=20_000;
 /// Greater differences, in microseconds, are ignored: they are not the effect of a wrong clock.
-const MAX_DIFF: i64 = 60_000_000;
+const MAX_DIFF: i64 = 2 * 24 * 3_600 * 1_000_000;
+/// Samples that agree must span at least this time, in microseconds. A position that stands still, or several answers that
+/// were held up and arrive at once, would otherwise look like a difference of the clocks.
+const MIN_SPAN_US: Micros = 20_000;
+/// How long a comparison with a primary's time is waited for, in microseconds: members of some sites state no roles.
+const COMPARISON_WAIT_US: Micros = 1_000_000;
+
+/// The difference of the clocks according to one answer, and when it arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Sample {
+    difference: i64,
+    at: Micros,
+}
+
+/// Whether this machine's clock may be behind the members' clocks, by the last time that a primary stated.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Comparison {
+    /// No primary has stated its time yet.
+    #[default]
+    Pending,
+    /// The primary's time was not ahead of this machine's.
+    NotBehind,
+    /// The primary's time was ahead of this machine's.
+    Behind,
+}
 
 /// The estimated difference of the clocks. It is positive if this machine's clock is ahead of the members' clocks.
 #[derive(Debug, Default)]
 pub struct ClockSkew {
-    /// The least samples so far in ascending order, in microseconds; as many as have to agree.
-    least_samples: Cell<Option<[i64; REQUIRED_SAMPLES]>>,
+    /// The least samples so far in ascending order; as many as have to agree.
+    least_samples: Cell<[Option<Sample>; REQUIRED_SAMPLES]>,
     /// The accepted difference, in microseconds.
     difference: Cell<i64>,
+    /// The last comparison with a primary's time.
+    comparison: Cell<Comparison>,
 }
 
 impl ClockSkew {
     /// Adds a sample: a primary sent the time `sent` of its clock, which arrived at `now`. Returns whether the difference
     /// changed.
     pub fn add_sample(&self, sent: Micros, now: Micros) -> bool {
-        let Some(diff) = now.checked_signed_diff(sent).filter(|d| d.abs() <= MAX_DIFF) else { return false };
-        let mut least_samples = self.least_samples.get().unwrap_or([i64::MAX; REQUIRED_SAMPLES]);
-        if diff >= least_samples[REQUIRED_SAMPLES - 1] {
+        let Some(difference) = now.checked_signed_diff(sent).filter(|d| d.abs() <= MAX_DIFF) else {
             return false;
-        }
-        least_samples[REQUIRED_SAMPLES - 1] = diff;
-        least_samples.sort_unstable();
-        self.least_samples.set(Some(least_samples));
-        let (first, last) = (least_samples[0], least_samples[REQUIRED_SAMPLES - 1]);
-        let agrees = last != i64::MAX && last - first <= MAX_SPREAD_US;
-        let difference = if agrees && !NO_DIFFERENCE_US.contains(&last) { last } else { 0 };
+        };
+        let mut samples = self.least_samples.get().to_vec();
+        samples.push(Some(Sample { difference, at: now }));
+        samples.sort_unstable_by_key(|sample| sample.map_or((true, 0), |s| (false, s.difference)));
+        let mut least = [None; REQUIRED_SAMPLES];
+        least.copy_from_slice(&samples[..REQUIRED_SAMPLES]);
+        self.least_samples.set(least);
+        let Some(agreed) = agreed_difference(&least) else { return false };
+        let difference = if NO_DIFFERENCE_US.contains(&agreed) { 0 } else { agreed };
         // Both clocks run at the same rate, so further samples can only make the difference more precise.
-        agrees && self.difference.replace(difference) != difference
+        self.difference.replace(difference) != difference
+    }
+
+    /// Compares this machine's clock with the time that a primary stated, which arrived at `now`.
+    pub fn compare(&self, primary_time: Micros, now: Micros) {
+        let is_behind = self.to_local(primary_time) > now.saturating_add_signed(-NO_DIFFERENCE_US.start());
+        self.comparison.set(if is_behind { Comparison::Behind } else { Comparison::NotBehind });
+    }
+
+    /// Whether the positions of replicas can be compared with this machine's clock, which has run for `uptime`.
+    pub fn may_trust_positions(&self, uptime: Micros) -> bool {
+        match self.comparison.get() {
+            Comparison::NotBehind => true,
+            Comparison::Pending => uptime > COMPARISON_WAIT_US,
+            Comparison::Behind => false,
+        }
     }
 
     /// Converts a time of the members' clocks to this machine's clock.
@@ -62,6 +106,15 @@
     }
 }
 
+/// The greatest of the least samples, if all agree and span enough time.
+fn agreed_difference(least: &[Option<Sample>; REQUIRED_SAMPLES]) -> Option<i64> {
+    let samples: Vec<Sample> = least.iter().copied().collect::<Option<_>>()?;
+    let (first, last) = (samples.first()?.difference, samples.last()?.difference);
+    let times = || samples.iter().map(|sample| sample.at);
+    let span = times().max()? - times().min()?;
+    (last - first <= MAX_SPREAD_US && span >= MIN_SPAN_US).then_some(last)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -81,7 +134,11 @@
     fn a_wrong_clock_is_detected_from_a_few_samples_that_agree() {
         for offset in [5_800_000, 80_000, -150_000] {
             let skew = ClockSkew::default();
-            let add_sample = |transfer: i64| skew.add_sample(T, T.saturating_add_signed(offset + transfer));
+            let time = Cell::new(T);
+            let add_sample = |transfer: i64| {
+                time.set(time.get() + MIN_SPAN_US);
+                skew.add_sample(time.get(), time.get().saturating_add_signed(offset + transfer))
+            };
             assert!(!add_sample(300) && !add_sample(700_000), "two samples that do not agree have no effect");
             assert!(!add_sample(900) && add_sample(600), "three samples that agree do");
             assert!((offset..offset + 1_000).contains(&skew.difference()), "{offset}: {}", skew.difference());
@@ -105,4 +162,33 @@
         skew.add_sample(Micros::MAX, T);
         assert_eq!(skew.difference(), 0);
     }
+
+    #[test]
+    fn a_position_that_stands_still_is_no_difference_of_clocks() {
+        let skew = ClockSkew::default();
+        for at in [0, 30, 60, 90, 5_000, 5_030] {
+            skew.add_sample(T, T + 3_400_000 + at * 1_000);
+        }
+        assert_eq!(skew.difference(), 0, "samples at different times do not agree");
+        let skew = ClockSkew::default();
+        for at in [0, 1, 2, 3] {
+            skew.add_sample(T, T + 3_400_000 + at * 1_000);
+        }
+        assert_eq!(skew.difference(), 0, "answers that were held up arrive at once");
+    }
+
+    #[test]
+    fn positions_count_once_a_primary_shows_that_the_clock_is_not_behind() {
+        let skew = ClockSkew::default();
+        assert!(!skew.may_trust_positions(0));
+        assert!(skew.may_trust_positions(COMPARISON_WAIT_US + 1), "members may state no roles");
+        skew.compare(T + 3_000_000, T);
+        assert!(!skew.may_trust_positions(COMPARISON_WAIT_US + 1));
+        for sample in 1..=3 {
+            skew.add_sample(T + 3_000_000 + sample * MIN_SPAN_US, T + sample * MIN_SPAN_US);
+        }
+        skew.compare(T + 4_000_000, T + 1_000_000);
+        assert!(skew.may_trust_positions(0), "the difference is known");
+        assert_eq!(skew.to_local(T + 4_000_000), T + 1_000_000);
+    }
 }
