Gossip passes a claim to be the primary on with its own position

The table kept the newest position and the newest role of a member apart and sent them as one state. Receivers date a claim by the position beside it, so a position that was learnt later and without a role made an old claim look new.

--- a/crates/gossip/src/state.rs
+++ b/crates/gossip/src/state.rs
@@ -80,7 +80,13 @@
     /// The newest state of a member, as it is sent to peers.
     pub fn state(&self, member: MemberTag) -> Option<MemberState> {
         let entry = self.entries.get(&member)?;
-        Some(MemberState { member, position: entry.position, role: entry.role })
+        // Receivers date a claim to be the primary by the position that comes with it. A position that was
+        // learnt later, without a role, would make it look newer than it is.
+        let position = match entry.role {
+            Some(Role::Primary) => entry.role_evidence_at,
+            _ => entry.position,
+        };
+        Some(MemberState { member, position, role: entry.role })
     }
 
     /// The members in a bucket of the digest whose role is known.
--- a/crates/gossip/tests/dissemination.rs
+++ b/crates/gossip/tests/dissemination.rs
@@ -244,3 +244,20 @@
     router.on_local_state(state(1, START, Role::Primary), START);
     assert_eq!(router.run_round(START), []);
 }
+
+/// A position that was learnt without a role doesn't make an older claim to be the primary look newer.
+#[test]
+fn a_claim_is_passed_on_with_its_own_position() {
+    let policy = Policy { bytes_per_second: 1_000_000, ..Policy::default() };
+    let mut gossip = Gossip::new(policy, Some(PeerIndex(0)), 2, 1, START);
+    let later = START + 5 * SECOND;
+    gossip.on_local_state(state(1, START, Role::Primary), START);
+    gossip.on_local_state(MemberState { member: MemberTag(1), position: later, role: None }, later);
+    let sent = gossip.run_round(later);
+    let states = sent.iter().filter_map(|m| match &m.message {
+        Message::States(states) => Some(states),
+        Message::Digest(_) => None,
+    });
+    let claims: Vec<MemberState> = states.flatten().copied().collect();
+    assert!(!claims.is_empty() && claims.iter().all(|s| *s == state(1, START, Role::Primary)), "{claims:?}");
+}
