What members stated is converted anew when the difference of the clocks changes

A driver learns the difference between its clock and the members' from their answers, after it has stored positions, commits of sessions and starts by another one. If its clock is ahead, a session's commit stored before looked older than the positions that came after, so a session read could go to a replica without the write; and a member that has just started looked warm until the next list. Now the decision module is told of the change and shifts what it has stored of members' times.

Measured: both new tests in tests/roles.rs fail without the shift and pass with it; the driver's tests troubles, roles, fleet, zones and explore_life pass.

--- a/crates/driver/src/decision/mod.rs
+++ b/crates/driver/src/decision/mod.rs
@@ -383,14 +383,20 @@
         }));
     }
 
-    /// Compares this machine's clock with the time that a primary just reported as its position.
-    fn compare_clocks(&self, primary_time: Micros) {
-        if self.node.clock_skew.add_sample(primary_time, self.node.clock.now()) {
-            warn!(
-                "this machine's clock is {} ms ahead of the members' clocks; check its time synchronization",
-                self.node.clock_skew.difference() / 1000
-            );
+    /// Compares this machine's clock with the time that a primary just reported as its position. What was
+    /// converted by another difference before is converted anew.
+    fn compare_clocks(&mut self, primary_time: Micros) {
+        let skew = &self.node.clock_skew;
+        let before = skew.difference();
+        if !skew.add_sample(primary_time, self.node.clock.now()) {
+            return;
         }
+        let difference = skew.difference();
+        warn!(
+            "this machine's clock is {} ms ahead of the members' clocks; check its time synchronization",
+            difference / 1000
+        );
+        self.handle(&Event::ClockAdjusted(difference - before));
     }
 
     /// A state that a peer sent, as an update of a member. None if no member, or more than one, has its tag.
--- a/crates/zones/src/planner.rs
+++ b/crates/zones/src/planner.rs
@@ -211,6 +211,7 @@
             Event::Request(_)
             | Event::RequestWithLimits(..)
             | Event::RetryNotBefore(..)
+            | Event::ClockAdjusted(_)
             | Event::Advice(_)
             | Event::Timer => {}
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -485,6 +485,8 @@
     Advice(&'a Advice),
     /// The zone planner of another router, given by its number, sent spill loans or requests for them.
     SpillLoans(u32, Vec<SpillLoan>),
+    /// Times of members' clocks are converted anew from now on: by this many microseconds more than before.
+    ClockAdjusted(i64),
     /// The client disconnected; the request needs no answer any more.
     ClientDisconnected(RequestId),
     /// The timer set by [`Action::SetTimer`] expired.
--- a/src/policy/roles.rs
+++ b/src/policy/roles.rs
@@ -186,6 +186,20 @@
         }
     }
 
+    /// Converts anew what members stated by their clocks. Times at which this router learned something are its
+    /// own and stay.
+    pub(super) fn on_clock_adjusted(&mut self, difference: i64) {
+        let adjust = |at: &mut Micros| *at = at.saturating_add_signed(difference);
+        for member in self.members.values_mut() {
+            let states_position = member.position > 0;
+            states_position.then(|| adjust(&mut member.position));
+            member.started_at.iter_mut().for_each(adjust);
+        }
+        self.sessions.values_mut().for_each(adjust);
+        let known = self.groups.values_mut().filter_map(|group| group.primary.as_mut());
+        known.filter(|primary| primary.evidence_at > 0).for_each(|primary| adjust(&mut primary.evidence_at));
+    }
+
     /// Takes a member for the primary of its group.
     fn accept_primary(&mut self, id: GroupId, primary: KnownPrimary, source: RoleSource) {
         let previous = self.groups.entry(id).or_default().primary.replace(primary);
--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -189,3 +189,40 @@
         deposed.assert_no_read_is_sent();
     }
 }
+
+#[test]
+fn what_members_stated_is_converted_anew_when_the_difference_of_the_clocks_is_known() {
+    const AHEAD: Micros = 5_000 * MS;
+    let settings = Settings { session_tracking: SessionTracking::Router, ..settings() };
+    // This machine's clock is ahead: all that members state looks older than it is.
+    let (mut fixture, _) = Fixture::unprobed(settings, &entries());
+    let stated = fixture.now - AHEAD - 10 * MS;
+    (1..=3).for_each(|m| drop(fixture.answer_probe(m, stated, m == 1)));
+    let (id, actions) = fixture.request_with(WRITE, 2_000 * MS, |r| r.session = Some(SessionId(1)));
+    assert_eq!(sent_to(&actions, id), Some(1));
+    let commit = fixture.now - AHEAD;
+    fixture.end_attempt(id, 1, Outcome::Served, ReplyStatus { position: Some(commit), role: None });
+    fixture.event(Event::ClockAdjusted(AHEAD as i64));
+    fixture.now += MS;
+    // A replica that had the log up to just before the commit, by the new difference.
+    let before_commit = commit + AHEAD - 2 * MS;
+    (2..=3).for_each(|m| drop(fixture.answer_probe(m, before_commit, false)));
+    let (id, actions) = fixture.request_with(SESSION, 2_000 * MS, |r| r.session = Some(SessionId(1)));
+    assert_eq!(sent_to(&actions, id), Some(1), "no replica has the session's write");
+}
+
+#[test]
+fn a_start_is_converted_anew_when_the_difference_of_the_clocks_is_known() {
+    const AHEAD: Micros = 900_000 * MS;
+    let mut fixture = Fixture::new();
+    let started_at = Some(fixture.now - AHEAD);
+    fixture.update_list(ListKind::Delta, &[ListEntry { started_at, ..entry(2, 0, false) }]);
+    fixture.event(Event::ClockAdjusted(AHEAD as i64));
+    fixture.answer_probe(2, fixture.now - MS, false);
+    fixture.answer_probe(3, fixture.now - MS, false);
+    let sent = (0..10).filter(|_| {
+        let (id, actions) = fixture.request(READ);
+        sent_to(&actions, id) == Some(2)
+    });
+    assert!(sent.count() <= 1, "it has just started");
+}
