--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -353,6 +353,7 @@
             heeds: within("heeds", c.heeds.unwrap_or(0.7), 0.0, 1.0)?,
             skew: within("skew", c.skew.unwrap_or(0.0), 0.0, 3.0)?,
             sessions: within("sessions", f64::from(c.sessions.unwrap_or(1000)), 1.0, 1e6)? as usize,
+            resting: c.resting.unwrap_or(0) as usize,
             notice: micros(within("notice_ms", c.notice_ms.unwrap_or(1_500.0), 0.0, 60_000.0)?),
         })
     }
@@ -451,7 +452,11 @@
             What::Burst(b) => Fault::Burst(times("burst.times", b.times)?),
             What::RouterLoss(r) => Fault::RouterLoss(
                 self.struck(&field("router_loss"), &r.zone, r.share)?,
-                if r.planned.unwrap_or(false) { Leave::Planned } else { Leave::Killed },
+                match (r.planned.unwrap_or(false), r.in_use.unwrap_or(false)) {
+                    (false, _) => Leave::Killed,
+                    (true, false) => Leave::Planned,
+                    (true, true) => Leave::PlannedInUse,
+                },
             ),
             What::Standstill(s) => Fault::Standstill(self.struck(&field("standstill"), &s.zone, s.share)?),
             What::Silence(_) => Fault::Silence,
--- a/crates/emulator/src/faults.rs
+++ b/crates/emulator/src/faults.rs
@@ -46,10 +46,14 @@
             }
             Fault::RouterLoss(struck, leave) => {
                 let mut hit = self.struck_routers(struck);
-                hit.retain(|r| self.routers[*r].alive && !self.routers[*r].leaving);
+                hit.retain(|r| {
+                    let router = &self.routers[*r];
+                    router.alive && !router.leaving && !router.told_to_end
+                });
                 match leave {
                     Leave::Killed => hit.iter().for_each(|r| self.stop_router(*r)),
-                    Leave::Planned => hit.iter().for_each(|r| self.send_off(*r)),
+                    Leave::Planned => hit.iter().for_each(|r| self.send_off(*r, false)),
+                    Leave::PlannedInUse => hit.iter().for_each(|r| self.send_off(*r, true)),
                 }
                 hit
             }
--- a/crates/emulator/src/live.rs
+++ b/crates/emulator/src/live.rs
@@ -30,6 +30,8 @@
     Kill(usize),
     /// Tell it to end.
     SendOff(usize),
+    /// Tell a router to end by signals in series: SIGTERM, then SIGHUP and SIGTERM by turns.
+    SignalInSeries(usize),
     /// Stop it, and let it go on after this time.
     Still(usize, Micros),
     /// A client asks.
--- a/crates/emulator/src/plan.rs
+++ b/crates/emulator/src/plan.rs
@@ -80,6 +80,8 @@
     pub sessions: usize,
     /// Time to notice that a router is dead.
     pub notice: Micros,
+    /// Connections that clients hold open to each router and send nothing on.
+    pub resting: usize,
 }
 
 /// Routers.
@@ -173,6 +175,8 @@
     Killed,
     /// It is told, and takes nothing new while it finishes what it has.
     Planned,
+    /// It is told by signals in series, and its clients go on sending until it is killed.
+    PlannedInUse,
 }
 
 /// A fault with its times, counted from dawn.
--- a/crates/emulator/src/router.rs
+++ b/crates/emulator/src/router.rs
@@ -50,8 +50,10 @@
     pub zone: usize,
     /// Whether its process runs.
     pub alive: bool,
-    /// Whether it was told to end: clients find others.
+    /// Whether clients find others, since it was told to end or has not answered yet.
     pub leaving: bool,
+    /// Whether it was told to end.
+    pub told_to_end: bool,
     /// Counts its starts.
     pub epoch: u32,
     /// It stands still until then.
--- a/crates/emulator/src/routing.rs
+++ b/crates/emulator/src/routing.rs
@@ -76,7 +76,7 @@
     pub(crate) fn start_router(&mut self, router: usize) {
         let now = self.now();
         let process = &mut self.routers[router];
-        (process.alive, process.leaving) = (true, false);
+        (process.alive, process.leaving, process.told_to_end) = (true, false, false);
         process.epoch += 1;
         let epoch = process.epoch;
         process.idle.iter_mut().for_each(Vec::clear);
@@ -106,12 +106,16 @@
         self.queue.after(RELIST, Ev::Relist((router, epoch)));
     }
 
-    /// A router is told to end: new clients find others, and it goes once it had time to finish.
-    pub(crate) fn send_off(&mut self, router: usize) {
-        self.routers[router].leaving = true;
-        self.order(|| Order::SendOff(router));
+    /// A router is told to end: clients find others, unless they go on using it, and it goes once it had time to
+    /// finish.
+    pub(crate) fn send_off(&mut self, router: usize, in_use: bool) {
+        self.routers[router].told_to_end = true;
+        self.routers[router].leaving = !in_use;
+        self.order(|| if in_use { Order::SignalInSeries(router) } else { Order::SendOff(router) });
         let process = (router, self.routers[router].epoch);
-        self.queue.after(PARTING, Ev::Leave(process));
+        let longest = self.plan.classes.iter().map(|c| c.class.deadline).max().unwrap_or(0);
+        let parting = if in_use { longest.min(LONGEST_DEADLINE) + PARTING_IN_USE } else { PARTING };
+        self.queue.after(parting, Ev::Leave(process));
     }
 
     pub(crate) fn leave(&mut self, router: usize, epoch: u32) {
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -32,6 +32,9 @@
 pub(crate) const RELIST: Micros = 100_000;
 /// A router that is told to end has this long to finish what it has.
 pub(crate) const PARTING: Micros = SECOND;
+/// Time until a router is killed whose clients go on using it: the longest deadline, three seconds at most, and this.
+pub(crate) const PARTING_IN_USE: Micros = 700_000;
+pub(crate) const LONGEST_DEADLINE: Micros = 3 * SECOND;
 /// Time beyond a request's end after which an answer is owed no more.
 pub(crate) const OWED: Micros = 60_000;
 
@@ -201,6 +204,7 @@
                     zone,
                     alive: false,
                     leaving: false,
+                    told_to_end: false,
                     epoch: 0,
                     still_until: 0,
                     steering: None,
--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -24,6 +24,10 @@
 /// A process has this long to take a connection.
 const CONNECT: Duration = Duration::from_secs(1);
 
+/// So often a connection that is to rest is opened again while its process does not take it, with this pause.
+const RESTING_TRIES: usize = 100;
+const RESTING_PAUSE: Duration = Duration::from_millis(50);
+
 struct Connection {
     stream: Async<TcpStream>,
     inbox: Inbox,
@@ -50,16 +54,40 @@
     pub spawner: Spawner,
     pub mail: Sender<Mail>,
     idle: Rc<RefCell<Vec<Connection>>>,
+    /// Connections that send nothing.
+    resting: Rc<RefCell<Vec<Connection>>>,
 }
 
 impl Clients {
     pub fn new(router: usize, address: SocketAddr, spawner: Spawner, mail: Sender<Mail>) -> Self {
-        Clients { router, address, spawner, mail, idle: Rc::default() }
+        Clients { router, address, spawner, mail, idle: Rc::default(), resting: Rc::default() }
     }
 
     /// Connections to a process that is gone lead nowhere.
     pub fn forget(&self) {
         self.idle.borrow_mut().clear();
+        self.resting.borrow_mut().clear();
+    }
+
+    /// Opens so many connections and sends nothing on them, as far as the process takes them.
+    pub fn rest(&self, count: usize) {
+        let clients = self.clone();
+        let open = async move {
+            let mut missing = count;
+            for _ in 0..RESTING_TRIES.max(count) {
+                if missing == 0 || clients.mail.is_closed() {
+                    return;
+                }
+                match clients.open().await {
+                    Some(connection) => {
+                        clients.resting.borrow_mut().push(connection);
+                        missing -= 1;
+                    }
+                    None => drop(Timer::after(RESTING_PAUSE).await),
+                }
+            }
+        };
+        self.spawner.spawn(open);
     }
 
     /// Tells once the process answers an empty query.
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -74,8 +74,25 @@
     Pass { from: usize, to: usize, bytes: Rc<[u8]> },
     /// Let a process that stands still go on.
     GoOn(usize),
+    /// Signal a process that was told to end once more.
+    Signal(usize, FurtherSignal),
 }
 
+/// A signal to a process that was told to end already.
+#[derive(Clone, Copy)]
+enum FurtherSignal {
+    Reload,
+    Terminate,
+}
+
+/// When further signals follow the one that tells a process to end.
+const FURTHER_SIGNALS: [(Micros, FurtherSignal); 4] = [
+    (20_000, FurtherSignal::Reload),
+    (60_000, FurtherSignal::Terminate),
+    (300_000, FurtherSignal::Reload),
+    (1_200_000, FurtherSignal::Terminate),
+];
+
 /// Who plays a day's routers.
 pub struct Fleet<'f> {
     /// The program, for those that are processes.
@@ -337,6 +354,7 @@
             match later {
                 Later::Pass { from, to, bytes } => self.hub.pass(from, to, &bytes),
                 Later::GoOn(router) => self.processes[router].iter().for_each(Process::go_on),
+                Later::Signal(router, signal) => self.signal_again(router, signal),
             }
         }
         self.obey();
@@ -424,7 +442,9 @@
             match order {
                 Order::Start(router) => self.start(router),
                 Order::Kill(router) => self.kill(router),
-                Order::SendOff(router) if self.embeds(router) => self.host(|host| host.leave(router)),
+                Order::SendOff(router) | Order::SignalInSeries(router) if self.embeds(router) => {
+                    self.host(|host| host.leave(router))
+                }
                 Order::Still(router, after) if self.embeds(router) => {
                     self.host(|host| host.stand_still(router, after));
                 }
@@ -433,6 +453,12 @@
                     self.host(|host| host.ask(ask, offset));
                 }
                 Order::SendOff(router) => self.processes[router].iter_mut().for_each(Process::send_off),
+                Order::SignalInSeries(router) => {
+                    self.processes[router].iter_mut().for_each(Process::send_off);
+                    for (after, signal) in FURTHER_SIGNALS {
+                        self.later.at(self.now() + after, Later::Signal(router, signal));
+                    }
+                }
                 Order::Still(router, after) => {
                     self.processes[router].iter().for_each(Process::stop);
                     self.later.at(self.now() + after, Later::GoOn(router));
@@ -469,6 +495,15 @@
         }
     }
 
+    /// A process that has been replaced since gets no signal that was meant for the one before.
+    fn signal_again(&mut self, router: usize, signal: FurtherSignal) {
+        let Some(process) = self.processes[router].as_mut().filter(|process| process.told) else { return };
+        match signal {
+            FurtherSignal::Reload => process.reload(),
+            FurtherSignal::Terminate => process.send_off(),
+        }
+    }
+
     fn back(&mut self, token: u64, back: Back) {
         if let Some(link) = self.waiting.remove(&token) {
             let _ = link.back.try_send(back);
@@ -494,6 +529,7 @@
             Ok(process) => {
                 self.processes[router] = Some(process);
                 self.clients[router].await_ready(self.starts[router]);
+                self.clients[router].rest(self.plan.clients.resting);
             }
             Err(e) => {
                 eprintln!(
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -68,6 +68,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// SIGHUP: it is to read its configuration again.
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// SIGSTOP: it stands still.
     pub fn stop(&self) {
         self.signal(Signal::STOP);
