A burst of answers does not keep the difference of the clocks unknown

The least three samples had to span 20 ms. Where they came in one burst, later ones, a little greater, never replaced them, so that the difference was never accepted and, with a clock that is behind, no replica used. Of samples that are close in time only the least is kept now.

The existing unit test spaces its samples by 40 ms, since their arrival times vary by less than one transfer.

--- a/crates/driver/src/skew.rs
+++ b/crates/driver/src/skew.rs
@@ -20,14 +20,14 @@
 const NO_DIFFERENCE_US: std::ops::RangeInclusive<i64> = -2_000..=20_000;
 /// Greater differences, in microseconds, are ignored: they are not the effect of a wrong clock.
 const MAX_DIFF: i64 = 2 * 24 * 3_600 * 1_000_000;
-/// Samples that agree must span at least this time, in microseconds. A position that stands still, or several answers that
-/// were held up and arrive at once, would otherwise look like a difference of the clocks.
+/// Samples that agree must be at least this time apart, in microseconds. A position that stands still, or several answers
+/// that were held up and arrive at once, would otherwise look like a difference of the clocks.
 const MIN_SPAN_US: Micros = 20_000;
 /// How long a comparison with a primary's time is waited for, in microseconds: members of some sites state no roles.
 const COMPARISON_WAIT_US: Micros = 1_000_000;
 
 /// The difference of the clocks according to one answer, and when it arrived.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug)]
 struct Sample {
     difference: i64,
     at: Micros,
@@ -48,7 +48,7 @@
 /// The estimated difference of the clocks. It is positive if this machine's clock is ahead of the members' clocks.
 #[derive(Debug, Default)]
 pub struct ClockSkew {
-    /// The least samples so far in ascending order; as many as have to agree.
+    /// The least samples so far; as many as have to agree.
     least_samples: Cell<[Option<Sample>; REQUIRED_SAMPLES]>,
     /// The accepted difference, in microseconds.
     difference: Cell<i64>,
@@ -63,11 +63,7 @@
         let Some(difference) = now.checked_signed_diff(sent).filter(|d| d.abs() <= MAX_DIFF) else {
             return false;
         };
-        let mut samples = self.least_samples.get().to_vec();
-        samples.push(Some(Sample { difference, at: now }));
-        samples.sort_unstable_by_key(|sample| sample.map_or((true, 0), |s| (false, s.difference)));
-        let mut least = [None; REQUIRED_SAMPLES];
-        least.copy_from_slice(&samples[..REQUIRED_SAMPLES]);
+        let least = with_sample(self.least_samples.get(), Sample { difference, at: now });
         self.least_samples.set(least);
         let Some(agreed) = agreed_difference(&least) else { return false };
         let difference = if NO_DIFFERENCE_US.contains(&agreed) { 0 } else { agreed };
@@ -106,13 +102,35 @@
     }
 }
 
-/// The greatest of the least samples, if all agree and span enough time.
+/// The least samples after one more. Of samples that are close in time only the least is kept, so that a burst of answers
+/// counts as one.
+fn with_sample(
+    least: [Option<Sample>; REQUIRED_SAMPLES],
+    sample: Sample,
+) -> [Option<Sample>; REQUIRED_SAMPLES] {
+    let close = |other: &Sample| sample.at.abs_diff(other.at) < MIN_SPAN_US;
+    let mut least = least;
+    let place = least.iter_mut().find(|slot| slot.as_ref().is_some_and(close));
+    let place = match place {
+        Some(place) => place,
+        // The greatest gives way; an empty place is greater than any sample.
+        None => match least.iter_mut().max_by_key(|slot| slot.map_or(i64::MAX, |s| s.difference)) {
+            Some(greatest) => greatest,
+            None => return least,
+        },
+    };
+    if place.is_none_or(|other| sample.difference < other.difference) {
+        *place = Some(sample);
+    }
+    least
+}
+
+/// The greatest of the least samples, if all agree.
 fn agreed_difference(least: &[Option<Sample>; REQUIRED_SAMPLES]) -> Option<i64> {
-    let samples: Vec<Sample> = least.iter().copied().collect::<Option<_>>()?;
-    let (first, last) = (samples.first()?.difference, samples.last()?.difference);
-    let times = || samples.iter().map(|sample| sample.at);
-    let span = times().max()? - times().min()?;
-    (last - first <= MAX_SPREAD_US && span >= MIN_SPAN_US).then_some(last)
+    let differences = || least.iter().map(|slot| slot.map(|sample| sample.difference));
+    let (first, last) = (differences().min()??, differences().max()??);
+    let all_known = least.iter().all(Option::is_some);
+    (all_known && last - first <= MAX_SPREAD_US).then_some(last)
 }
 
 #[cfg(test)]
@@ -136,7 +154,7 @@
             let skew = ClockSkew::default();
             let time = Cell::new(T);
             let add_sample = |transfer: i64| {
-                time.set(time.get() + MIN_SPAN_US);
+                time.set(time.get() + 2 * MIN_SPAN_US);
                 skew.add_sample(time.get(), time.get().saturating_add_signed(offset + transfer))
             };
             assert!(!add_sample(300) && !add_sample(700_000), "two samples that do not agree have no effect");
@@ -177,6 +195,18 @@
         assert_eq!(skew.difference(), 0, "answers that were held up arrive at once");
     }
 
+    #[test]
+    fn a_burst_of_answers_does_not_keep_the_difference_unknown() {
+        let skew = ClockSkew::default();
+        for at in [0, 1, 2, 3] {
+            skew.add_sample(T + at, T + at + 5_000_300);
+        }
+        for at in 1..=3 {
+            skew.add_sample(T + at * MIN_SPAN_US, T + at * MIN_SPAN_US + 5_000_600);
+        }
+        assert!((5_000_000..5_001_000).contains(&skew.difference()), "{}", skew.difference());
+    }
+
     #[test]
     fn positions_count_once_a_primary_shows_that_the_clock_is_not_behind() {
         let skew = ClockSkew::default();
