Updates converted by another difference of clocks are not told to peers

An update that waits to be sent is stored by this machine's clock and converted back as it goes out. If the difference of the clocks changes in between, peers would get another position than the member stated. Such updates are discarded.

--- a/crates/driver/src/decision/mod.rs
+++ b/crates/driver/src/decision/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod message;
 pub mod open_requests;
+mod primary_log;
 
 use std::collections::hash_map::Entry::Occupied;
 use std::collections::{BTreeMap, HashMap};
@@ -15,11 +16,11 @@
 use async_io::Timer;
 use beaconshore::interface::{
     Action, AttemptResult, Event, GroupId, ListEntry, ListKind, ListedState, MemberId, MemberUpdate, Micros,
-    Outcome, PrimaryEvent, PrimaryEventKind, Request, RequestId, Role, RoleSource, SpillLoan, ZoneId,
+    Outcome, PrimaryEvent, Request, RequestId, Role, SpillLoan, ZoneId,
 };
 use beaconshore_steering::{ConnectionInfo, Steering};
 use futures_lite::future;
-use log::{debug, info, log, warn, Level};
+use log::{debug, info, warn};
 
 use crate::client::{Answer, ClientMessage};
 use crate::config::Config;
@@ -457,27 +458,8 @@
 
     /// Logs and counts an event about a group's primary.
     fn report_primary(&self, event: &PrimaryEvent) {
-        let (counter, level, what) = match event.kind {
-            PrimaryEventKind::Accepted => {
-                (Counter::PrimariesAccepted, Level::Info, "is taken for the primary")
-            }
-            PrimaryEventKind::Revoked => {
-                (Counter::PrimariesRevoked, Level::Info, "is not the primary any more")
-            }
-            PrimaryEventKind::ClaimIgnored => {
-                (Counter::PrimaryClaimsIgnored, Level::Debug, "is not believed to be the primary")
-            }
-        };
-        let source = match event.source {
-            RoleSource::Answer => "its answer",
-            RoleSource::Report => "its report",
-            RoleSource::Peer => "another driver",
-            RoleSource::List => "the membership list",
-        };
-        let member = self.member_name(event.member);
-        let age = event.position_age.map_or("unknown".to_string(), |age| format!("{} ms old", age / 1000));
-        self.node.stats.count(counter);
-        log!(level, "group {}: {member} {what}, by {source}; its known position is {age}", event.group.0);
+        primary_log::log(event, self.member_name(event.member));
+        self.node.stats.count(primary_log::counter(event.kind));
     }
 
     /// Starts an attempt of a request at a member.
--- a/src/policy/broadcast.rs
+++ b/src/policy/broadcast.rs
@@ -60,6 +60,11 @@
         self.updates.push(update);
     }
 
+    /// Discards the updates that are still to be sent.
+    pub fn discard(&mut self) {
+        self.updates.clear();
+    }
+
     /// Returns the updates that are to be sent now. A router that seems cut off collects them between
     /// messages.
     pub fn take_due(&mut self, now: Micros) -> Option<Vec<MemberUpdate>> {
--- a/src/policy/roles.rs
+++ b/src/policy/roles.rs
@@ -196,6 +196,8 @@
             member.started_at.iter_mut().for_each(adjust);
         }
         self.sessions.values_mut().for_each(adjust);
+        // They would be converted back by the new difference.
+        self.broadcast.discard();
         let known = self.groups.values_mut().filter_map(|group| group.primary.as_mut());
         known.filter(|primary| primary.evidence_at > 0).for_each(|primary| adjust(&mut primary.evidence_at));
     }
--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -226,3 +226,18 @@
     });
     assert!(sent.count() <= 1, "it has just started");
 }
+
+#[test]
+fn what_was_converted_by_another_difference_is_not_told_to_peers() {
+    let mut settings = settings();
+    settings.limits.peer_messages = true;
+    for adjusts in [false, true] {
+        let mut fixture = Fixture::ready(settings.clone(), &entries());
+        fixture.advance(1_000 * MS);
+        fixture.answer_probe(2, fixture.now - MS, false);
+        adjusts.then(|| fixture.event(Event::ClockAdjusted(-5_000)));
+        let actions = fixture.advance(20 * MS);
+        let told = actions.iter().any(|a| matches!(a, Action::SendPeerUpdates(_)));
+        assert_eq!(told, !adjusts);
+    }
+}
