--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -206,7 +206,8 @@
         let member = self.members.entry(entry.member).or_insert(new);
         if member.group != entry.group {
             // What it stated concerns the log of its former group.
-            (member.position, member.position_learned_at, member.denied_primary_at) = (0, 0, 0);
+            (member.position, member.position_learned_at) = (0, 0);
+            (member.denial_heard_at, member.denial_position) = (0, 0);
             member.listed_primary = false;
         }
         (member.group, member.zone) = (entry.group, entry.zone);
--- a/src/policy/roles.rs
+++ b/src/policy/roles.rs
@@ -1,9 +1,10 @@
 //! Who is the primary of a group, and how far its members have the log: which statements on this are believed.
 //!
 //! Statements come from members themselves, from other routers and from the membership list, and all may be
-//! late. A statement that a member is the primary therefore counts from the earliest time at which it may have
-//! been made, a statement that it is not counts up to the latest. Reads rely on the former only while it is
-//! the newer of the two.
+//! late. A member's position never goes back, and a primary's is the present. So of two statements of a member
+//! the one with the lower position is the older. Where a position is missing, a statement that the member is the
+//! primary counts from the earliest time at which it may have been made, and one that it is not up to the
+//! latest. Reads rely on the former only while it is the newer of the two.
 
 use crate::interface::*;
 use crate::policy::probe_share::PROBE_PERIOD;
@@ -12,8 +13,21 @@
 
 /// Members state positions in whole milliseconds, and round commits up, in microseconds.
 const POSITION_RESOLUTION: Micros = 1_000;
+/// Greatest age of a member's report when it arrives, in microseconds.
+const MAX_REPORT_AGE: Micros = 500_000;
 
-/// What a member stated about itself, with the bounds on when it did.
+/// When a member stated its role.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum StatedAt {
+    /// When it had reached this position.
+    Position(Micros),
+    /// Not before this time.
+    NotBefore(Micros),
+    /// That cannot be told.
+    Unknown,
+}
+
+/// What a member stated about itself.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Statement {
     /// The member.
@@ -22,10 +36,8 @@
     pub(super) position: Option<Micros>,
     /// Its role.
     pub(super) role: Option<Role>,
-    /// Earliest time at which it may have made the statement; `None` if that cannot be told.
-    pub(super) not_before: Option<Micros>,
-    /// Latest time at which it may have made the statement.
-    pub(super) not_after: Micros,
+    /// When it made the statement.
+    pub(super) stated_at: StatedAt,
     /// How the statement arrived.
     pub(super) source: RoleSource,
 }
@@ -38,8 +50,8 @@
         let Some(member) = self.members.get_mut(&entry.member) else { return };
         let newly_primary = entry.primary && !member.listed_primary;
         member.listed_primary = entry.primary;
-        let has_denied = member.denied_primary_at > 0;
-        let recently_denied = has_denied && self.now <= member.denied_primary_at + PROBE_PERIOD;
+        let has_denied = member.denial_heard_at > 0;
+        let recently_denied = has_denied && self.now <= member.denial_heard_at + PROBE_PERIOD;
         let (excluded, started_at) = (member.excluded, member.started_at);
         let known = self.groups.entry(entry.group).or_default().primary;
         if newly_primary && known.is_none() && !excluded && !recently_denied {
@@ -47,7 +59,8 @@
             // its role and been forgotten since, so its own word is awaited where it can be asked.
             let at_start = kind == ListKind::Cached || !self.settings.limits.probes;
             let serves_reads = at_start && !has_denied;
-            let listed = KnownPrimary { member: entry.member, evidence_at: 0, serves_reads };
+            let listed =
+                KnownPrimary { member: entry.member, evidence_at: 0, position_heard_at: None, serves_reads };
             self.accept_primary(entry.group, listed, RoleSource::List);
         }
         let outdated = |primary: KnownPrimary| {
@@ -65,14 +78,16 @@
     pub(super) fn record_statement(&mut self, statement: Statement) {
         // A position ahead of the clock cannot be true.
         let position = statement.position.filter(|p| *p <= self.now);
-        let is_dated = position.is_some() || statement.position.is_none();
-        let role = statement.role;
         if let Some(position) = position {
-            self.record_position(statement.member, position, role);
+            self.record_position(statement.member, position, statement.role);
         }
-        let not_before = statement.not_before.filter(|at| is_dated && *at <= self.now);
-        match role {
-            Some(Role::Primary) => self.record_claim(statement.member, not_before, statement.source),
+        let stated_at = match statement.stated_at {
+            StatedAt::Position(at) | StatedAt::NotBefore(at) if at > self.now => StatedAt::Unknown,
+            stated_at => stated_at,
+        };
+        let statement = Statement { position, stated_at, ..statement };
+        match statement.role {
+            Some(Role::Primary) => self.record_claim(&statement),
             Some(Role::Replica) => self.record_denial(&statement),
             None => {}
         }
@@ -92,37 +107,54 @@
         }
     }
 
-    /// Records that a member stated to be the primary, at `not_before` at the earliest.
-    fn record_claim(&mut self, id: MemberId, not_before: Option<Micros>, source: RoleSource) {
+    /// Records that a member stated to be the primary.
+    fn record_claim(&mut self, statement: &Statement) {
+        let id = statement.member;
         let Some(member) = self.members.get(&id) else { return };
-        let (group, denied_at) = (member.group, member.denied_primary_at);
-        let known = self.groups.entry(group).or_default().primary;
-        let (is_known, evidence_at) = known.map_or((false, 0), |p| (p.member == id, p.evidence_at));
-        match not_before.filter(|at| *at > denied_at && (is_known || *at > evidence_at)) {
-            Some(at) => {
-                let evidence_at = at.max(evidence_at);
-                self.accept_primary(
-                    group,
-                    KnownPrimary { member: id, evidence_at, serves_reads: true },
-                    source,
-                );
+        let group = member.group;
+        let is_newer_than_denial = match statement.stated_at {
+            StatedAt::Position(at) => {
+                member.denial_heard_at == 0 || at >= member.denial_position + POSITION_RESOLUTION
             }
-            None if is_known => {}
-            None => self.report_primary(group, id, PrimaryEventKind::ClaimIgnored, source),
+            StatedAt::NotBefore(at) => at > member.denial_heard_at,
+            StatedAt::Unknown => false,
+        };
+        let (at, position_heard_at) = match statement.stated_at {
+            StatedAt::Position(at) => (at, Some(self.now)),
+            StatedAt::NotBefore(at) => (at, None),
+            StatedAt::Unknown => (0, None),
+        };
+        let known = self.groups.entry(group).or_default().primary;
+        let of_member = known.filter(|primary| primary.member == id);
+        let is_newest = of_member.is_some() || at > known.map_or(0, |primary| primary.evidence_at);
+        if is_newer_than_denial && is_newest {
+            let older = of_member.filter(|primary| primary.serves_reads && primary.evidence_at >= at);
+            let claimed = KnownPrimary { member: id, evidence_at: at, position_heard_at, serves_reads: true };
+            self.accept_primary(group, older.unwrap_or(claimed), statement.source);
+        } else if of_member.is_none() {
+            self.report_primary(group, id, PrimaryEventKind::ClaimIgnored, statement.source);
         }
     }
 
     /// Records that a member stated not to be the primary.
     fn record_denial(&mut self, statement: &Statement) {
-        let (id, not_after) = (statement.member, statement.not_after);
+        let (id, now) = (statement.member, self.now);
         let Some(member) = self.members.get_mut(&id) else { return };
-        let known = self.groups.get(&member.group).and_then(|group| group.primary);
-        let contradicted = known.filter(|p| p.member == id);
-        if contradicted.is_some_and(|p| not_after < p.evidence_at) {
+        let group = member.group;
+        let known = self.groups.get(&group).and_then(|group| group.primary);
+        let contradicted = known.filter(|primary| primary.member == id);
+        if contradicted.is_some_and(|primary| is_refuted(statement, &primary, now)) {
             return;
         }
-        member.denied_primary_at = member.denied_primary_at.max(not_after);
-        let group = member.group;
+        // An answer is heard as it is given: whatever was claimed up to now is older.
+        let position = match statement.stated_at {
+            StatedAt::Position(position) if statement.source != RoleSource::Answer => position,
+            _ => now,
+        };
+        member.denial_position = member.denial_position.max(position);
+        // How long a peer's word was on its way is unknown.
+        let heard_at = if statement.source == RoleSource::Peer { position } else { now };
+        member.denial_heard_at = member.denial_heard_at.max(heard_at);
         if contradicted.is_some() {
             self.revoke_primary(group, statement.source);
         }
@@ -138,11 +170,10 @@
                 ended.outcome,
                 Outcome::Served | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled
             );
-        let stated_from = match position {
-            Some(commit) if may_be_commit => commit.saturating_sub(POSITION_RESOLUTION),
-            // A primary has reached the present.
-            Some(position) => position,
-            None => sent_at,
+        let stated_at = match position {
+            Some(commit) if may_be_commit => StatedAt::Position(commit.saturating_sub(POSITION_RESOLUTION)),
+            Some(position) => StatedAt::Position(position),
+            None => StatedAt::NotBefore(sent_at),
         };
         let report_role = ended.report.role.filter(|_| role.is_none());
         self.record_report(ended.member, &Report { role: report_role, ..ended.report });
@@ -150,8 +181,7 @@
             member: ended.member,
             position: position.filter(|_| !may_be_commit),
             role,
-            not_before: Some(stated_from),
-            not_after: self.now,
+            stated_at,
             source: RoleSource::Answer,
         });
     }
@@ -163,8 +193,7 @@
             member: id,
             position: report.position,
             role: report.role,
-            not_before: report.position,
-            not_after: self.now,
+            stated_at: report.position.map_or(StatedAt::Unknown, StatedAt::Position),
             source: RoleSource::Report,
         });
     }
@@ -179,8 +208,7 @@
                 member: update.member,
                 position: Some(update.position),
                 role: update.role,
-                not_before: Some(update.position),
-                not_after: update.position.min(self.now),
+                stated_at: StatedAt::Position(update.position),
                 source: RoleSource::Peer,
             });
         }
@@ -193,6 +221,7 @@
         for member in self.members.values_mut() {
             let states_position = member.position > 0;
             states_position.then(|| adjust(&mut member.position));
+            (member.denial_heard_at > 0).then(|| adjust(&mut member.denial_position));
             member.started_at.iter_mut().for_each(adjust);
         }
         self.sessions.values_mut().for_each(adjust);
@@ -223,3 +252,17 @@
         self.primary_events.push(PrimaryEvent { group, member: id, kind, source, position_age });
     }
 }
+
+/// Returns whether a denial is older than the claim by which its member is taken for the primary. An answer is
+/// heard as it is given; a report may be older than a claim that was heard right before it, a peer's word than
+/// any.
+fn is_refuted(denial: &Statement, primary: &KnownPrimary, now: Micros) -> bool {
+    let StatedAt::Position(position) = denial.stated_at else { return false };
+    let Some(heard_at) = primary.position_heard_at else { return false };
+    let may_be_older = match denial.source {
+        RoleSource::Answer | RoleSource::List => false,
+        RoleSource::Report => now <= heard_at + MAX_REPORT_AGE,
+        RoleSource::Peer => true,
+    };
+    may_be_older && position + POSITION_RESOLUTION <= primary.evidence_at
+}
--- a/src/records.rs
+++ b/src/records.rs
@@ -36,8 +36,11 @@
     pub(crate) position_learned_at: Micros,
     /// Last time at which the member rejected a read because it lags too far behind.
     pub(crate) lag_rejected_at: Micros,
-    /// Latest time at which the member may have stated that it is not the primary; 0 if it never did.
-    pub(crate) denied_primary_at: Micros,
+    /// When this router last heard that the member is not the primary; 0 if it never did.
+    pub(crate) denial_heard_at: Micros,
+    /// Position that the member had when it last reported that, or the time at which it answered so. Positions
+    /// never go back, so that what was stated at a lower one is older.
+    pub(crate) denial_position: Micros,
     /// When routers last told each other about the member.
     pub(crate) shared_at: Micros,
     /// Whether the list names the member as primary.
@@ -76,6 +79,8 @@
     pub(crate) member: MemberId,
     /// Time for which the evidence holds; 0 if only the list names the member.
     pub(crate) evidence_at: Micros,
+    /// When the evidence was heard, if it was dated by a position of the member.
+    pub(crate) position_heard_at: Option<Micros>,
     /// Whether reads may rely on its role. If not, only writes are sent there, which a replica rejects.
     pub(crate) serves_reads: bool,
 }
