Answers to the first probes wait until the clocks are compared, instead of losing their position

Now such an answer is held until a primary has told the time, one second at most, while reads wait for the probe as they do anyway.

--- a/crates/driver/src/decision/mod.rs
+++ b/crates/driver/src/decision/mod.rs
@@ -16,7 +16,7 @@
 use async_io::Timer;
 use beaconshore::interface::{
     Action, AttemptResult, Event, GroupId, ListEntry, ListKind, ListedState, MemberId, MemberUpdate, Micros,
-    Outcome, PrimaryEvent, Request, RequestId, Role, SpillLoan, ZoneId,
+    Outcome, PrimaryEvent, Report, Request, RequestId, Role, SpillLoan, ZoneId,
 };
 use beaconshore_steering::{ConnectionInfo, Steering};
 use futures_lite::future;
@@ -79,6 +79,8 @@
     timer_at: Option<Instant>,
     /// When overdue requests were looked for last.
     last_sweep: Micros,
+    /// Answers to the first probes, which wait for the comparison of the clocks.
+    held_probes: Vec<(MemberId, Outcome, Report)>,
 }
 
 impl DecisionActor {
@@ -101,7 +103,8 @@
             let (settings, plans) = (node.settings.module.clone(), config.plans.clone());
             Steering::new(settings, plans, config.seed, node.clock.now())
         };
-        let (requests, members, ids, tags, ids_assigned, timer_at, last_sweep) = Default::default();
+        let (requests, members, ids, tags, ids_assigned, timer_at, last_sweep, held_probes) =
+            Default::default();
         let (peers, returned_handle) = (peers.map(Peers::mailbox), handle.clone());
         let actor = DecisionActor {
             node,
@@ -119,6 +122,7 @@
             ids_assigned,
             timer_at,
             last_sweep,
+            held_probes,
         };
         (actor, returned_handle)
     }
@@ -161,7 +165,10 @@
                     let kind = if update.reset { ListKind::Full } else { ListKind::Delta };
                     node.meter.measure(Work::List, || self.on_list(kind, update));
                 }
-                Ok(Wake::Message(message)) => node.meter.measure(Work::Traffic, || self.on_message(message)),
+                Ok(Wake::Message(message)) => node.meter.measure(Work::Traffic, || {
+                    self.on_message(message);
+                    self.release_held_probes();
+                }),
                 Ok(Wake::PeerMessage(from, message)) => {
                     node.meter.measure(Work::PeerMessages, || self.on_peer_message(from, message));
                 }
@@ -171,6 +178,7 @@
                         self.node.stats.count(Counter::Stalls);
                     }
                     node.meter.measure(Work::Timer, || {
+                        self.release_held_probes();
                         self.handle(&Event::Timer);
                         self.sweep_overdue();
                     });
@@ -184,9 +192,13 @@
             DecisionMessage::Request(client_request) => self.on_request(*client_request),
             DecisionMessage::RequestAbandoned(id) => self.on_request_abandoned(id),
             DecisionMessage::AttemptEnded(end) => self.on_attempt_end(*end),
-            DecisionMessage::ProbeEnded(member, outcome, mut report) => {
-                report.position = self.to_local_position(report.position, report.role);
-                self.handle(&Event::ProbeEnded { member, outcome, report });
+            DecisionMessage::ProbeEnded(member, outcome, report) => {
+                let is_comparison = report.role == Some(Role::Primary) && report.position.is_some();
+                if report.position.is_some() && !is_comparison && self.awaits_comparison() {
+                    self.held_probes.push((member, outcome, report));
+                } else {
+                    self.on_probe_ended(member, outcome, report);
+                }
             }
             DecisionMessage::FailOpenRequests => self.fail_open_requests(),
             DecisionMessage::ReplaceRoutes(policy) => {
@@ -203,6 +215,26 @@
         }
     }
 
+    fn on_probe_ended(&mut self, member: MemberId, outcome: Outcome, mut report: Report) {
+        report.position = self.to_local_position(report.position, report.role);
+        self.handle(&Event::ProbeEnded { member, outcome, report });
+    }
+
+    /// Whether a replica's position can't be judged yet, but soon can.
+    fn awaits_comparison(&self) -> bool {
+        self.node.clock_skew.awaits_comparison(self.node.clock.uptime())
+    }
+
+    /// Passes held answers on once the clocks are compared, or that was waited for long enough.
+    fn release_held_probes(&mut self) {
+        if self.held_probes.is_empty() || self.awaits_comparison() {
+            return;
+        }
+        for (member, outcome, report) in std::mem::take(&mut self.held_probes) {
+            self.on_probe_ended(member, outcome, report);
+        }
+    }
+
     fn on_peer_message(&mut self, from: u32, message: PeerMessage) {
         match message {
             PeerMessage::MemberStates(states) => {
--- a/crates/driver/src/skew.rs
+++ b/crates/driver/src/skew.rs
@@ -77,6 +77,11 @@
         self.comparison.set(if is_behind { Comparison::Behind } else { Comparison::NotBehind });
     }
 
+    /// Whether a comparison with a primary's time is still waited for, after this machine's clock has run for `uptime`.
+    pub fn awaits_comparison(&self, uptime: Micros) -> bool {
+        self.comparison.get() == Comparison::Pending && uptime <= COMPARISON_WAIT_US
+    }
+
     /// Whether the positions of replicas can be compared with this machine's clock, which has run for `uptime`.
     pub fn may_trust_positions(&self, uptime: Micros) -> bool {
         match self.comparison.get() {
--- a/crates/driver/tests/roles.rs
+++ b/crates/driver/tests/roles.rs
@@ -149,3 +149,16 @@
     let report = probed.to_report();
     assert_eq!((report.role, report.position), (Some(Role::Replica), Some(1_767_225_609_000_000)));
 }
+
+#[test]
+fn a_replica_that_answers_before_the_primary_is_used_right_after_the_start() {
+    let prepare = |member: &Member| {
+        member.set(|s| s.welcome_pause = Duration::from_millis(if s.leader { 30 } else { 0 }));
+    };
+    for _ in 0..5 {
+        let world = World::prepared(prepare, |_| {});
+        let mut client = world.client();
+        assert!((0..3).all(|_| client.ask(&read(2_000)).is_served()));
+        assert!(world.follower.queries().len() >= 3, "all reads but the first few go to the follower");
+    }
+}
