--- a/src/policy/roles.rs
+++ b/src/policy/roles.rs
@@ -1,10 +1,10 @@
-//! Who is the primary of a group, and how far its members have the log: which statements on this are believed.
+//! Who is the primary of a group, and how far its members have the log: which statements on this count.
 //!
-//! Statements come from members themselves, from other routers and from the membership list, and all may be
-//! late. A member's position never goes back, and a primary's is the present. So of two statements of a member
-//! the one with the lower position is the older. Where a position is missing, a statement that the member is the
-//! primary counts from the earliest time at which it may have been made, and one that it is not up to the
-//! latest. Reads rely on the former only while it is the newer of the two.
+//! Statements come from members themselves, from other routers and from the membership list, and all may
+//! be late. A member's position never goes back, and a primary's is the present. So of two statements of a
+//! member the one with the lower position is the older. Where a position is missing, a statement that the
+//! member is the primary counts from the earliest time at which it may have been made, and one that it is
+//! not up to the latest. Reads rely on the former only while it is the newer of the two.
 
 use crate::interface::*;
 use crate::policy::probe_share::PROBE_PERIOD;
@@ -43,9 +43,9 @@
 }
 
 impl Router {
-    /// Records the role that a list entry names. The list is delayed. It therefore decides on the primary only
-    /// where nothing better is known, only when it newly names this member, and not if the member has recently
-    /// stated that it is not the primary. Writes may then be sent there, since a replica rejects them.
+    /// Records the role that a list entry names. The list is delayed. It therefore decides on the primary
+    /// only where nothing better is known, only when it newly names this member, and not if the member has
+    /// recently stated that it is not the primary. Writes may then be sent there: a replica rejects them.
     pub(super) fn record_listed_role(&mut self, kind: ListKind, entry: &ListEntry, restarted: bool) {
         let Some(member) = self.members.get_mut(&entry.member) else { return };
         let newly_primary = entry.primary && !member.listed_primary;
@@ -214,8 +214,8 @@
         }
     }
 
-    /// Converts anew what members stated by their clocks. Times at which this router learned something are its
-    /// own and stay.
+    /// Converts anew what members stated by their clocks. Times at which this router learned something are
+    /// its own and stay.
     pub(super) fn on_clock_adjusted(&mut self, difference: i64) {
         let adjust = |at: &mut Micros| *at = at.saturating_add_signed(difference);
         for member in self.members.values_mut() {
@@ -253,9 +253,9 @@
     }
 }
 
-/// Returns whether a denial is older than the claim by which its member is taken for the primary. An answer is
-/// heard as it is given; a report may be older than a claim that was heard right before it, a peer's word than
-/// any.
+/// Returns whether a denial is older than the claim by which its member is taken for the primary. An answer
+/// is heard as it is given; a report may be older than a claim that was heard right before it, a peer's word
+/// than any.
 fn is_refuted(denial: &Statement, primary: &KnownPrimary, now: Micros) -> bool {
     let StatedAt::Position(position) = denial.stated_at else { return false };
     let Some(heard_at) = primary.position_heard_at else { return false };
