--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -473,6 +473,15 @@
         self.await_ready();
     }
 
+    /// Asks it to end, and waits for that.
+    pub fn terminate(&mut self) {
+        let _ = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        let end = Instant::now() + ms(8_000);
+        while Instant::now() < end && !self.has_ended() {
+            thread::sleep(ms(10));
+        }
+    }
+
     /// Stops (true) or continues (false) the process.
     pub fn pause(&self, stop: bool) {
         let signal = if stop { "-STOP" } else { "-CONT" };
