--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -488,6 +488,11 @@
         let _ = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
     }
 
+    /// Its process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn has_ended(&mut self) -> bool {
         self.child.try_wait().ok().flatten().is_some()
     }
