--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -4,7 +4,7 @@
 #[path = "../standins/common.rs"]
 mod common;
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::process::exit;
 use std::sync::{Arc, Mutex};
@@ -59,7 +59,7 @@
 }
 
 /// Asks in turn until the end; notes the ids that were served.
-fn client(address: SocketAddr, writes: bool, end: Instant, served: Arc<Mutex<HashMap<String, ()>>>) {
+fn client(address: SocketAddr, writes: bool, end: Instant, served: Arc<Mutex<HashSet<String>>>, record: Record) {
     let mut connection = None;
     while Instant::now() < end {
         let Some(open) = connection.as_mut() else {
@@ -69,12 +69,15 @@
         let id = new_id();
         let text = if writes { write_text(&id, "order", 2_000, &id, 16) } else { read_text(&id, "view", 2_500, &id) };
         let sent = open.send(&text);
+        let sent_at = now();
         let answer = open.answer(ms(if writes { 2_600 } else { 3_100 }));
+        let (what, took) = (if writes { "write" } else { "read" }, (now() - sent_at) / 1000);
+        record.line(&format!("client: sent {what} {id} {took} ms ago, and got: {}", answer.describe()));
         if sent.is_err() || answer.ended || answer.kinds.is_empty() {
             connection = None;
         }
         if answer.is_served() {
-            served.lock().unwrap().insert(id, ());
+            served.lock().unwrap().insert(id);
         }
         thread::sleep(if writes { ms(400) } else { ms(50) });
     }
@@ -101,10 +104,10 @@
     let setup = Setup { discovery: address, known, memory_mb: 192, sockets: 1024, settings: SETTINGS.into() };
     let mut driver = Driver::start(&setup);
 
-    let (end, served) = (Instant::now() + RUN, Arc::new(Mutex::new(HashMap::new())));
+    let (end, served) = (Instant::now() + RUN, Arc::new(Mutex::new(HashSet::new())));
     let ask = |writes: bool| {
-        let (address, served) = (driver.address, served.clone());
-        thread::spawn(move || client(address, writes, end, served))
+        let (address, served, record) = (driver.address, served.clone(), record.clone());
+        thread::spawn(move || client(address, writes, end, served, record))
     };
     // Reads come from the start; a write only after the link has become slow: drivers carry little traffic.
     let mut clients: Vec<_> = (0..4).map(|_| ask(false)).collect();
@@ -126,7 +129,7 @@
     let (mut reads, mut stale, mut oldest) = (0, 0, 0);
     for replica in &replicas {
         for run in replica.set(|s| s.runs.clone()) {
-            if run.answered_at.is_none() || !served.contains_key(&run.id) {
+            if run.answered_at.is_none() || !served.contains(&run.id) {
                 continue;
             }
             reads += 1;
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
 # Runs one case: run-case.sh N. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# TROUBLE=0 plays the same without the disruption.
 number=$1
 cd "$(dirname "$0")/.." || exit 2
 DEPLOY_RUN=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
@@ -10,7 +11,8 @@
 fi
 CASE_TMP=$(mktemp -d) || exit 2
 trap 'rm -rf "$CASE_TMP"' EXIT
-export DEPLOY_RUN CASE_TMP
+TROUBLE=${TROUBLE:-1}
+export DEPLOY_RUN CASE_TMP TROUBLE
 # The case's program ends its drivers; they end with it if it is killed.
 timeout -k 1 110 "$program" "review/$number/record.txt"
 case $? in 0) exit 0 ;; 1) exit 1 ;; *) exit 2 ;; esac
