Clients that stop within large requests keep others' answers out no longer

Cause: a connection took one of the few permits for large messages on reading a header and kept it for up to 2 s, whether or not the message came. Others waited for a permit without an end, in their sockets, and the time of a request counted from the read of its last part, so the wait was not seen.

Change: the first 12 KB of each message need no permit. A permit whose message stays incomplete for 0.1 s goes to the first connection that waits; the message that loses it is read without being kept, and its request refused once it is whole. A request that waits for half of its client's time (the decision module's share, 1 s at most) is refused in the same way. The time of a request counts from when its bytes were first left in the socket. Large messages that are no queries take no memory. The pool of permits moves from descriptors.rs into a module of its own, since memory uses it too.

Why it works: no permit is held by a message that does not come, no wait for one outlasts its request, and a wait is part of the time that is passed on.

--- a/crates/driver/src/client/connection/incoming.rs
+++ b/crates/driver/src/client/connection/incoming.rs
@@ -30,7 +30,9 @@
         match self.stage {
             // The reply to the opening is written before the next message is processed.
             Stage::Startup if self.output.is_none() => self.next_opening_input(bytes, now),
-            Stage::Serving if self.answers.len() < MAX_OPEN_REQUESTS => self.next_message_input(bytes, now),
+            Stage::Serving if self.answers.len() >= MAX_OPEN_REQUESTS => Input::NotReady,
+            Stage::Serving if self.is_skipping() => self.next_skipped_input(bytes, now),
+            Stage::Serving => self.next_message_input(bytes, now),
             // No request is accepted once the connection is closing.
             Stage::Closing(_) | Stage::Lingering if !bytes.is_empty() => Input::Consume(bytes.len()),
             _ => Input::NotReady,
@@ -88,12 +90,7 @@
                 self.skips_to_sync = false;
                 pg::put_ready_for_query(&mut out);
             }
-            FrontendMessage::Extended if self.skips_to_sync => {}
-            FrontendMessage::Extended => {
-                self.skips_to_sync = true;
-                let code = sqlstate::FEATURE_NOT_SUPPORTED;
-                pg::put_error(&mut out, Severity::Error, code, "only simple queries are taken", None);
-            }
+            FrontendMessage::Extended => self.reject_extended(),
             FrontendMessage::Query(query) if query.trim_ascii().is_empty() => {
                 pg::put_empty_query_response(&mut out);
                 pg::put_ready_for_query(&mut out);
@@ -137,6 +134,19 @@
         self.skip_non_request(now);
     }
 
+    /// Queues the error that a message of the extended protocol gets, unless messages are skipped up to the next
+    /// Sync already.
+    pub(super) fn reject_extended(&mut self) {
+        if self.skips_to_sync {
+            return;
+        }
+        self.skips_to_sync = true;
+        let mut out = Vec::new();
+        let code = sqlstate::FEATURE_NOT_SUPPORTED;
+        pg::put_error(&mut out, Severity::Error, code, "only simple queries are taken", None);
+        self.queue_bytes(out);
+    }
+
     /// Notes that the client has closed the connection or that it broke. Returns the open requests, which are
     /// abandoned, and drops all output.
     pub fn disconnected(&mut self) -> Vec<AbandonedRequest> {
@@ -176,7 +186,7 @@
     }
 
     /// Notes a request. The time for the next message starts now.
-    fn note_request(&mut self, now: Instant) {
+    pub(super) fn note_request(&mut self, now: Instant) {
         (self.usage, self.since, self.consecutive_non_requests) = (Usage::Used, now, 0);
     }
 
@@ -190,7 +200,7 @@
     }
 
     /// Counts a message that was no request, and ends the connection if there were too many in a row.
-    fn skip_non_request(&mut self, now: Instant) {
+    pub(super) fn skip_non_request(&mut self, now: Instant) {
         if !self.count_non_request(Some(now)) {
             let text = "too many messages in a row were no requests";
             self.end_with_error(CloseCause::ProtocolViolation, sqlstate::PROTOCOL_VIOLATION, text.into());
--- a/crates/driver/src/client/connection/interface.rs
+++ b/crates/driver/src/client/connection/interface.rs
@@ -5,7 +5,7 @@
 
 use beaconshore::interface::RequestId;
 
-use crate::descriptors::IdleRank;
+use crate::permit_pool::IdleRank;
 
 /// How long connections are kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/driver/src/client/connection/mod.rs
+++ b/crates/driver/src/client/connection/mod.rs
@@ -12,6 +12,7 @@
 mod interface;
 mod limits;
 mod schedule;
+mod skipping;
 
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -29,6 +30,8 @@
     DISCONNECT_CHECK_INTERVAL, EVICTION_GRACE, LINGER_TIMEOUT, MAX_LINGER_BYTES, MAX_OPEN_REQUESTS,
     MESSAGE_TIMEOUT, OUTPUT_STALL_TIMEOUT,
 };
+pub use skipping::SkipReply;
+use skipping::SkippedMessage;
 
 /// How a connection ends.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -110,6 +113,8 @@
     consecutive_non_requests: u32,
     /// Set after an error in the extended protocol: messages are skipped up to the next Sync.
     skips_to_sync: bool,
+    /// The message that is being skipped for want of memory.
+    skipped: Option<SkippedMessage>,
     /// The answers that are owed, in the order of the messages that asked for them.
     answers: VecDeque<QueuedAnswer>,
     output: Option<Output>,
@@ -136,6 +141,7 @@
             output_progress_at: now,
             consecutive_non_requests: 0,
             skips_to_sync: false,
+            skipped: None,
             answers: VecDeque::new(),
             output: None,
             discarded_bytes: 0,
@@ -156,11 +162,7 @@
         let (mut bytes, mut large_permit) = (Vec::new(), None);
         match answer {
             Answer::Served(served) => (bytes, large_permit) = (served.messages, served.large_permit),
-            Answer::Refused(retry_after) => {
-                let detail = (retry_after > 0).then(|| retry_after.div_ceil(1000).to_string());
-                let (code, text) = (sqlstate::TOO_MANY_CONNECTIONS, "refused; trying again is harmless");
-                pg::put_error(&mut bytes, Severity::Error, code, text, detail.as_deref());
-            }
+            Answer::Refused(retry_after) => pg::put_refusal(&mut bytes, retry_after),
             Answer::Failed => {
                 let (code, text) = (sqlstate::COMPLETION_UNKNOWN, "failed; the statement may have run");
                 pg::put_error(&mut bytes, Severity::Error, code, text, None);
@@ -262,10 +264,12 @@
         self.close_cause
     }
 
-    /// The whole length of the message that the buffer begins with; 0 while it is not known.
+    /// The whole length of the message that the buffer begins with; 0 while it is not known. Of a message that
+    /// is being skipped, as many bytes as are read at once.
     pub fn message_length(&self, bytes: &[u8]) -> usize {
         match self.stage {
             Stage::Startup => pg::first_message_length(bytes),
+            _ if self.is_skipping() => self.skipped_read_length(),
             _ => pg::message_length(bytes),
         }
     }
--- a/crates/driver/src/client/connection/schedule.rs
+++ b/crates/driver/src/client/connection/schedule.rs
@@ -10,7 +10,7 @@
     CloseCause, ConnectionState, End, NextStep, PendingClose, Phase, QueuedAnswer, ReadMode, Stage, Usage,
     Wait,
 };
-use crate::descriptors::IdleRank;
+use crate::permit_pool::IdleRank;
 use crate::pg::sqlstate;
 
 impl ConnectionState {
--- a/crates/driver/src/client/message.rs
+++ b/crates/driver/src/client/message.rs
@@ -15,6 +15,8 @@
     Answer(RequestId, Answer),
     /// Close the connection if it has no open request.
     CloseIfIdle,
+    /// Return the memory for a large message that has not come whole: others wait for it.
+    ReleaseMemory,
     /// Cancel the open requests: the client asked for that on another connection.
     CancelRequests,
 }
--- a/crates/driver/src/client/mod.rs
+++ b/crates/driver/src/client/mod.rs
@@ -4,6 +4,7 @@
 //! `connection`, which does no I/O.
 
 pub mod connection;
+mod large_message;
 pub mod message;
 
 use std::cell::{Cell, RefCell};
@@ -21,10 +22,11 @@
 use log::debug;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 
+use crate::budget::LargeMessagePermit;
 use crate::buffer::Buffer;
 use crate::decision::{ClientIdentity, ClientRequest, DecisionHandle, DecisionMessage, Statement};
-use crate::descriptors::{IdleRank, IdleRegistration, Permit};
-use crate::pg::{self, sqlstate};
+use crate::permit_pool::{IdleRank, IdleRegistration, Permit};
+use crate::pg::{self, sqlstate, BadRequest, ParsedRequest};
 use crate::stats::Counter;
 use crate::Node;
 
@@ -32,6 +34,7 @@
     AbandonedRequest, CloseCause, ConnectionState, Eviction, Input, NextStep, Phase, ReadMode, Wait,
     DISCONNECT_CHECK_INTERVAL, MAX_OPEN_REQUESTS,
 };
+use large_message::MemoryWait;
 pub use message::{Answer, CancelFlag, ClientMessage, MemberAnswer};
 
 /// Messages of one connection that are processed before other actors get their turn.
@@ -81,6 +84,9 @@
             stream,
             buffer: Buffer::default(),
             received_at: 0,
+            unread_since: None,
+            memory_wait: None,
+            memory_granted_at: Instant::now(),
             sender,
             mailbox,
             connection: ConnectionState::new(key, Instant::now()),
@@ -112,14 +118,14 @@
     pub fn start_shutdown(&self, time_left: Duration) {
         self.phase.set(Phase::ShuttingDown);
         self.latest_deadline.set(self.node.clock.now() + time_left.as_micros() as Micros);
-        self.node.descriptors.clients.close_all_idle();
+        self.node.descriptors.clients.ask_all_idle();
     }
 
     /// Has every open request answered, and closes every connection.
     pub fn close_all(&self) {
         self.phase.set(Phase::Closing);
         self.decision.send(DecisionMessage::FailOpenRequests);
-        self.node.descriptors.clients.close_all_idle();
+        self.node.descriptors.clients.ask_all_idle();
     }
 
     /// The number of open connections.
@@ -131,6 +137,9 @@
 /// What wakes the actor of a connection.
 enum WakeReason {
     Input(io::Result<usize>),
+    /// More of a large message has arrived than can be read without a permit.
+    MemoryNeeded(io::Result<()>),
+    MemoryGranted(LargeMessagePermit),
     Output(io::Result<()>),
     Message(ClientMessage),
     Deadline,
@@ -143,6 +152,12 @@
     buffer: Buffer,
     /// The earliest time at which the newest bytes may have arrived.
     received_at: Micros,
+    /// Since when input may have been left in the socket for want of memory. None once all was read.
+    unread_since: Option<Micros>,
+    /// The wait for memory for the large message that the buffer begins with.
+    memory_wait: Option<MemoryWait>,
+    /// When the buffer was last granted memory for a large message.
+    memory_granted_at: Instant,
     sender: Sender<ClientMessage>,
     mailbox: Receiver<ClientMessage>,
     connection: ConnectionState,
@@ -156,7 +171,7 @@
         loop {
             let turn_ended = self.process_messages();
             let wrote = self.flush()?;
-            let (phase, begun) = (self.clients.phase.get(), !self.buffer.filled().is_empty());
+            let (phase, begun) = (self.clients.phase.get(), self.has_begun_message());
             // Output that was written may have made room for the next message in the buffer.
             if turn_ended || wrote && begun {
                 // Yields, so that a client that sends without pause does not hold up the other actors.
@@ -246,9 +261,7 @@
     fn read_request(&self, query: &[u8]) -> Result<ClientRequest, pg::BadRequest> {
         let node = &self.clients.node;
         let request = pg::parse_request(query)?;
-        let class_index = node.settings.protocol.class_names.iter().position(|name| name == request.class);
-        let class_index =
-            class_index.ok_or((sqlstate::UNDEFINED_OBJECT, "the request's class is not known"))?;
+        let class_index = self.find_class(&request)?;
         let class_settings = &node.settings.module.classes[class_index];
         if matches!(class_settings.effect, Effect::Keyed(..)) && !request.has_idempotency_key {
             return Err((sqlstate::INVALID_PARAMETER_VALUE, "a request of this class needs a key"));
@@ -264,8 +277,7 @@
         // A request that had to wait for earlier answers before it was read starts to wait now.
         let waits_since =
             if self.connection.owed_answers() + 1 < MAX_OPEN_REQUESTS { self.received_at } else { now };
-        // A class limits how long a client waits over all its retries.
-        let wait = (u64::from(request.wait_ms) * 1000).min(class_settings.deadline);
+        let wait = self.waiting_time(&request, class_index);
         Ok(ClientRequest {
             id: RequestId(id),
             client_id,
@@ -282,6 +294,24 @@
         })
     }
 
+    /// The index of a request's class.
+    fn find_class(&self, request: &ParsedRequest) -> Result<usize, BadRequest> {
+        let names = &self.clients.node.settings.protocol.class_names;
+        let class_index = names.iter().position(|name| name == request.class);
+        class_index.ok_or((sqlstate::UNDEFINED_OBJECT, "the request's class is not known"))
+    }
+
+    /// How long a request's client waits. A class limits that over all retries.
+    fn waiting_time(&self, request: &ParsedRequest, class_index: usize) -> Micros {
+        let class_settings = &self.clients.node.settings.module.classes[class_index];
+        (u64::from(request.wait_ms) * 1000).min(class_settings.deadline)
+    }
+
+    /// Whether part of a message has been read.
+    fn has_begun_message(&self) -> bool {
+        !self.buffer.filled().is_empty() || self.connection.is_skipping()
+    }
+
     /// Waits for one of the given conditions.
     async fn wait(&mut self, wait: Wait) -> WakeReason {
         let length = self.connection.message_length(self.buffer.filled());
@@ -296,6 +326,9 @@
             ReadMode::Ahead => self.buffer.has_room() && !lacks_room,
             ReadMode::Paused => false,
         };
+        if !(reads && lacks_room) {
+            self.memory_wait = None;
+        }
         let now = Instant::now();
         let (eviction_start, registration) = match wait.idle_since {
             Some((from, _)) if now < from => (Some(from), None),
@@ -304,7 +337,10 @@
         // Where input may stay unread, the socket is polled for a disconnection behind it.
         let disconnect_check =
             (wait.watches_disconnect && (!reads || lacks_room)).then(|| now + DISCONNECT_CHECK_INTERVAL);
-        let wake_at = [wait.deadline, eviction_start, disconnect_check].into_iter().flatten().min();
+        let (reclaimable_at, memory_registration) = self.register_memory(now);
+        let refuse_at = self.memory_wait.as_ref().and_then(|wait| wait.gives_up_at);
+        let wake_at = [wait.deadline, eviction_start, disconnect_check, reclaimable_at, refuse_at];
+        let wake_at = wake_at.into_iter().flatten().min();
         let message = async {
             match self.mailbox.recv().await {
                 Ok(message) => WakeReason::Message(message),
@@ -321,9 +357,17 @@
                     return WakeReason::Input(Err(e));
                 }
             }
-            if lacks_room {
-                self.buffer.grant(self.clients.node.memory_budget.requests.acquire_arc().await);
+            match &mut self.memory_wait {
+                Some(wait) if lacks_room => return WakeReason::MemoryGranted(wait.permit.as_mut().await),
+                None if lacks_room => return WakeReason::MemoryNeeded(self.stream.readable().await),
+                _ => {}
             }
+            let unread = future::poll_once(self.buffer.fill(length, &mut &self.stream)).await;
+            if let Some(count) = unread {
+                return WakeReason::Input(count);
+            }
+            // All that had arrived was read.
+            self.unread_since = None;
             WakeReason::Input(self.buffer.fill(length, &mut &self.stream).await)
         };
         let output = async {
@@ -340,7 +384,7 @@
             WakeReason::Deadline
         };
         let wake = future::or(message, future::or(input, future::or(output, time))).await;
-        drop(registration);
+        drop((registration, memory_registration));
         wake
     }
 
@@ -349,11 +393,16 @@
         let now = Instant::now();
         match wake {
             WakeReason::Input(count) => self.input_received(count?, wait.read_mode == ReadMode::Discard)?,
+            WakeReason::MemoryNeeded(ready) => {
+                ready?;
+                self.request_memory();
+            }
+            WakeReason::MemoryGranted(permit) => self.grant_memory(permit),
             WakeReason::Output(ready) => ready?,
             WakeReason::Deadline if wait.watches_disconnect && self.has_disconnected() => {
                 return Err(io::ErrorKind::ConnectionAborted.into())
             }
-            WakeReason::Deadline => {}
+            WakeReason::Deadline => self.end_overdue_memory_wait(now),
             WakeReason::Message(ClientMessage::Answer(id, answer)) => {
                 let node = &self.clients.node;
                 match self.connection.queue_answer(id, answer) {
@@ -365,11 +414,12 @@
                 }
             }
             WakeReason::Message(ClientMessage::CloseIfIdle) => {
-                let begun = !self.buffer.filled().is_empty();
+                let begun = self.has_begun_message();
                 if self.connection.evict(self.clients.phase.get(), begun, now) == Eviction::InUse {
-                    self.clients.node.descriptors.clients.on_close_declined();
+                    self.clients.node.descriptors.clients.on_declined();
                 }
             }
+            WakeReason::Message(ClientMessage::ReleaseMemory) => self.release_memory(),
             WakeReason::Message(ClientMessage::CancelRequests) => {
                 let abandoned = self.connection.cancel_requests();
                 self.report_abandoned(abandoned);
@@ -384,8 +434,9 @@
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
         let node = &self.clients.node;
-        self.received_at = node.stall_detector.earliest_arrival(node.clock.now());
-        let was_empty = self.buffer.filled().len() == count;
+        let earliest_arrival = node.stall_detector.earliest_arrival(node.clock.now());
+        self.received_at = self.unread_since.unwrap_or(earliest_arrival);
+        let was_empty = self.buffer.filled().len() == count && !self.connection.is_skipping();
         if discards {
             self.buffer = Buffer::default();
         }
@@ -400,7 +451,7 @@
         match future::poll_once(self.buffer.fill(wanted, &mut &self.stream)).await {
             Some(count) => {
                 self.input_received(count?, false)?;
-                self.clients.node.descriptors.clients.on_close_declined();
+                self.clients.node.descriptors.clients.on_declined();
             }
             None => self.connection.on_no_input(),
         }
--- a/crates/driver/src/member/connection.rs
+++ b/crates/driver/src/member/connection.rs
@@ -17,7 +17,7 @@
 use crate::buffer::Buffer;
 use crate::clock::{with_deadline, with_timeout};
 use crate::decision::DecisionHandle;
-use crate::descriptors::Permit;
+use crate::permit_pool::Permit;
 use crate::pg::{self, sqlstate, BackendMessage};
 use crate::stats::Counter;
 use crate::Node;
@@ -235,7 +235,7 @@
             future::yield_now().await;
             let length = pg::message_length(self.buffer.filled());
             if self.buffer.needs_permit(length) {
-                self.buffer.grant(node.memory_budget.answers.acquire_arc().await);
+                self.buffer.grant(node.memory_budget.answers.acquire().await);
             }
             let read_timeout = reply.read_timeout(!self.buffer.filled().is_empty());
             let read = self.read_some(length);
--- a/crates/driver/src/member/mod.rs
+++ b/crates/driver/src/member/mod.rs
@@ -21,7 +21,7 @@
 use crate::clock::with_deadline;
 use crate::control::MemberTransport;
 use crate::decision::{DecisionHandle, DecisionMessage, Statement};
-use crate::descriptors::{IdleRank, IdleRegistration};
+use crate::permit_pool::{IdleRank, IdleRegistration};
 use crate::stats::Counter;
 use crate::Node;
 
@@ -170,7 +170,7 @@
                 Some(Ok(MemberMessage::CloseIdle)) => self.idle_connections.clear(),
                 Some(Ok(MemberMessage::CloseLongestIdle)) => match self.idle_connections.pop_front() {
                     Some(oldest) => drop(oldest),
-                    None => self.node.descriptors.members.on_close_declined(),
+                    None => self.node.descriptors.members.on_declined(),
                 },
                 Some(Ok(MemberMessage::AttemptEnded(end, connection))) => {
                     self.running_attempts.remove(&end.request);
--- a/crates/driver/src/pg.rs
+++ b/crates/driver/src/pg.rs
@@ -6,6 +6,8 @@
 use std::fmt;
 use std::ops::Range;
 
+use beaconshore::interface::Micros;
+
 use crate::ids::MAX_ID_BYTES;
 
 /// Longest value in bytes, as the store limits it.
@@ -177,6 +179,16 @@
     Terminate,
 }
 
+/// Whether a message of a client that begins with this byte is a simple query.
+pub fn is_query(kind: u8) -> bool {
+    kind == b'Q'
+}
+
+/// Whether a message of a client that begins with this byte belongs to the extended protocol.
+pub fn is_extended(kind: u8) -> bool {
+    matches!(kind, b'P' | b'B' | b'F' | b'E' | b'D' | b'C')
+}
+
 /// Parses the next message of a client.
 pub fn parse_frontend(bytes: &[u8]) -> Parsed<FrontendMessage<'_>> {
     let bound = |kind| match kind {
@@ -186,13 +198,13 @@
     };
     let Some(((kind, body), length)) = split_frame(bytes, bound)? else { return Ok(None) };
     let message = match kind {
-        b'Q' => FrontendMessage::Query(
+        kind if is_query(kind) => FrontendMessage::Query(
             body.strip_suffix(&[0]).filter(|q| !q.contains(&0)).ok_or(ProtocolError::MalformedContent)?,
         ),
         b'S' => FrontendMessage::Sync,
         b'X' => FrontendMessage::Terminate,
-        b'c' | b'd' | b'f' | b'H' => FrontendMessage::Ignored,
-        _ => FrontendMessage::Extended,
+        kind if is_extended(kind) => FrontendMessage::Extended,
+        _ => FrontendMessage::Ignored,
     };
     Ok(Some((message, length)))
 }
@@ -416,6 +428,13 @@
     });
 }
 
+/// Appends the error that refuses a request, with the time in microseconds after which to retry (0: no advice).
+pub fn put_refusal(out: &mut Vec<u8>, retry_after: Micros) {
+    let detail = (retry_after > 0).then(|| retry_after.div_ceil(1000).to_string());
+    let (code, text) = (sqlstate::TOO_MANY_CONNECTIONS, "refused; trying again is harmless");
+    put_error(out, Severity::Error, code, text, detail.as_deref());
+}
+
 /// Appends the startup message of a connection to a member.
 pub fn put_startup(out: &mut Vec<u8>) {
     let at = out.len();
@@ -467,6 +486,13 @@
 
 /// Parses a statement with its request comment: `/* name=value,... */ statement`.
 pub fn parse_request(query: &[u8]) -> Result<ParsedRequest<'_>, BadRequest> {
+    let (request, statement) = parse_request_comment(query)?;
+    Ok(ParsedRequest { key: find_quoted_key(statement)?, ..request })
+}
+
+/// Parses the request comment that a statement begins with, of which the rest may be missing. Returns what it
+/// says, without a key, and what follows it.
+pub fn parse_request_comment(query: &[u8]) -> Result<(ParsedRequest<'_>, &[u8]), BadRequest> {
     const BAD_FORM: BadRequest =
         (sqlstate::SYNTAX_ERROR, "the statement does not begin with a request comment");
     const BAD_VALUE: BadRequest =
@@ -515,7 +541,7 @@
     if !(1..=MAX_ID_BYTES).contains(&id.len()) || key.is_some_and(str::is_empty) {
         return Err(BAD_VALUE);
     }
-    Ok(ParsedRequest {
+    let request = ParsedRequest {
         id,
         class: class.ok_or(MISSING_VALUE)?,
         wait_ms: parse_digits(wait).ok_or(BAD_VALUE)?,
@@ -528,8 +554,9 @@
         group: parse_digits(group.ok_or(MISSING_VALUE)?).ok_or(BAD_VALUE)?,
         min_position_ms: after.map(|a| parse_digits(a).ok_or(BAD_VALUE)).transpose()?,
         has_idempotency_key: key.is_some(),
-        key: find_quoted_key(&rest[end + 2..])?,
-    })
+        key: b"",
+    };
+    Ok((request, &rest[end + 2..]))
 }
 
 /// Parses a number that consists of digits only.
--- a/crates/driver/src/shutdown/mod.rs
+++ b/crates/driver/src/shutdown/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::client::Clients;
 use crate::clock::with_deadline;
-use crate::descriptors::Permit;
+use crate::permit_pool::Permit;
 use crate::Node;
 
 use sequence::{ShutdownSequence, Step, FINAL_ANSWERS_TIME};
--- a/crates/driver/src/stats.rs
+++ b/crates/driver/src/stats.rs
@@ -94,6 +94,10 @@
     ListBytesReceived = "list_bytes_received",
     /// Times that an actor had to wait for a descriptor.
     DescriptorWaits = "short_of_descriptors",
+    /// Times that a large request had to wait for memory before it was read whole.
+    MemoryWaits = "short_of_memory",
+    /// Large messages that were read without being kept, so that their requests were not taken up.
+    MessagesSkipped = "skipped",
     /// Stalls of the process.
     Stalls = "standstills",
     /// Times that a member was newly taken for a group's primary.
--- a/crates/driver/tests/common/client.rs
+++ b/crates/driver/tests/common/client.rs
@@ -53,6 +53,11 @@
     )
 }
 
+/// A keyed write that waits so many milliseconds, of a value of so many bytes.
+pub fn large_write(wait_ms: u32, value_bytes: usize) -> String {
+    write(wait_ms).replace("9f03", &"5a".repeat(value_bytes))
+}
+
 impl Client {
     pub fn connect(address: SocketAddr) -> Client {
         let mut client = Client::raw(address);
--- a/crates/driver/tests/common/mod.rs
+++ b/crates/driver/tests/common/mod.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub use beaconshore_rig::wire::put;
-pub use client::{read, write, Client};
+pub use client::{large_write, read, write, Client};
 pub use discovery::Discovery;
 pub use driver::World;
 pub use member::{Behaviour, Member, Spoil};
--- a/crates/driver/tests/explore_connection.rs
+++ b/crates/driver/tests/explore_connection.rs
@@ -7,13 +7,16 @@
 
 use beaconshore::interface::RequestId;
 use beaconshore_driver::client::connection::{
-    ConnectionState, Input, NextStep, Phase, ReadMode, DISCONNECT_CHECK_INTERVAL, LINGER_TIMEOUT,
+    ConnectionState, Input, NextStep, Phase, ReadMode, SkipReply, DISCONNECT_CHECK_INTERVAL, LINGER_TIMEOUT,
     MAX_LINGER_BYTES, MAX_OPEN_REQUESTS, OUTPUT_STALL_TIMEOUT,
 };
 use beaconshore_driver::client::{Answer, CancelFlag, MemberAnswer};
 use beaconshore_driver::pg;
 use beaconshore_rig::wire::{put, query, startup};
 
+/// Bytes of a message's type and length.
+const HEADER: usize = 5;
+
 /// What may happen, each once and those of one source in their order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -25,6 +28,8 @@
     Answer,
     /// The connection is asked to make room.
     Room,
+    /// The memory for the message in the buffer is taken back.
+    Skip,
     /// The driver is asked to end; then all is closed.
     Leave,
     Close,
@@ -40,6 +45,8 @@
 struct Seen {
     taken: usize,
     answered: usize,
+    /// Skipped messages that came whole.
+    skipped: usize,
     left: usize,
     /// Bytes that reached the client, and whether the sending side was shut.
     written: Vec<u8>,
@@ -95,6 +102,11 @@
         }
     }
 
+    /// Whether part of a message has been read.
+    fn begun(&self) -> bool {
+        !self.buffer.is_empty() || self.connection.is_skipping()
+    }
+
     /// The client has gone, as far as this side can tell.
     fn gone(&mut self) {
         let left = self.connection.disconnected();
@@ -103,7 +115,7 @@
     }
 
     fn read(&mut self, discards: bool) {
-        let was_empty = self.buffer.is_empty();
+        let was_empty = !self.begun();
         let count = self.arrived.len();
         self.buffer.append(&mut self.arrived);
         if discards {
@@ -120,10 +132,10 @@
             }
             self.look();
             let wrote = self.flush();
-            if wrote && !self.buffer.is_empty() {
+            if wrote && self.begun() {
                 continue;
             }
-            match self.connection.next_step(self.phase, !self.buffer.is_empty(), self.now) {
+            match self.connection.next_step(self.phase, self.begun(), self.now) {
                 NextStep::Close => return self.close(),
                 NextStep::Write => {}
                 NextStep::ShutdownWrite => {
@@ -154,13 +166,16 @@
                 }
             }
         }
-        let next = self.connection.next_step(self.phase, !self.buffer.is_empty(), self.now);
+        let next = self.connection.next_step(self.phase, self.begun(), self.now);
         panic!("it never comes to rest: {next:?}, {:?}", self.seen);
     }
 
     fn look(&mut self) {
         loop {
-            match self.connection.next_input(&self.buffer, self.now) {
+            let was_skipping = self.connection.is_skipping();
+            let input = self.connection.next_input(&self.buffer, self.now);
+            self.seen.skipped += usize::from(was_skipping && !self.connection.is_skipping());
+            match input {
                 Input::NotReady => return,
                 Input::Consume(length) => drop(self.buffer.drain(..length)),
                 Input::Startup(startup) => {
@@ -218,7 +233,15 @@
                 assert!(self.connection.queue_answer(id, Answer::Served(served)).is_some());
                 self.seen.answered += 1;
             }
-            Event::Room => drop(self.connection.evict(self.phase, !self.buffer.is_empty(), self.now)),
+            Event::Room => drop(self.connection.evict(self.phase, self.begun(), self.now)),
+            Event::Skip => {
+                // Only a message whose header has come is skipped, and none twice.
+                if self.buffer.len() >= HEADER && !self.connection.is_skipping() {
+                    let (reply, now) = (SkipReply::Refused(0), self.now);
+                    let count = self.connection.skip_message(&self.buffer, reply, now);
+                    self.buffer.drain(..count);
+                }
+            }
             Event::Leave => self.phase = Phase::ShuttingDown,
             Event::Close => {
                 self.phase = Phase::Closing;
@@ -279,7 +302,8 @@
         // Nothing is left open but by its client's departure.
         assert!(seen.left == 0 || seen.departed, "{order:?}: {seen:?}");
         if !seen.departed {
-            assert_eq!(whole_answers(&seen.written), seen.answered, "{order:?}: all answers are whole");
+            let owed = seen.answered + seen.skipped;
+            assert_eq!(whole_answers(&seen.written), owed, "{order:?}: all answers are whole");
             assert!(seen.shut, "{order:?}: it is shut before it is closed");
         }
     }
@@ -342,6 +366,18 @@
     assert_eq!(orders, 840);
 }
 
+/// Guards against: a message whose memory was taken back is answered twice, out of order, before it is whole, or not at all.
+#[test]
+fn a_message_that_is_skipped_behind_an_open_request_in_every_order() {
+    use Event::*;
+    let half = read(2).len() / 2;
+    let rest = [&read(2)[half..], &read(3)[..]].concat();
+    let pieces = [[startup(), read(1)].concat(), read(2)[..half].to_vec(), rest];
+    let orders = explore(&pieces, &[Bytes, Bytes, Bytes, Skip, Answer, Answer, Fin, Leave]);
+    assert_eq!(orders, 3_360);
+    explore(&pieces, &[Bytes, Bytes, Bytes, Skip, Answer, Time, Room, Close]);
+}
+
 #[test]
 fn a_goodbye_behind_an_open_request_in_every_order() {
     use Event::*;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod broadcast;
 pub mod probe_share;
+pub mod refusal;
 mod roles;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -423,7 +424,7 @@
         };
         let Request { class, group, session, budget, is_repeat, .. } = *request;
         let (expires_at, primary_wait_until, random_draw) =
-            (self.now + budget, self.now + budget / 2, self.random.draw(u64::MAX));
+            (self.now + budget, self.now + refusal::longest_wait(budget), self.random.draw(u64::MAX));
         let usual = self.services[class].update_usual_budget(budget, self.tick);
         // First tries all have the same budget, and a last try has what is left of the deadline. A try with
         // another budget therefore tells how long ago the client first asked. A shorter budget may also mean
@@ -809,9 +810,7 @@
     /// Answers a request without a result: refused if a repeat is harmless, otherwise failed.
     fn refuse_or_fail(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(pending) = self.pending.get(&id) else { return };
-        let (class, limits) = (&self.settings.classes[pending.class], &self.settings.limits);
-        let retry_after =
-            if limits.retry_after { limits.max_retry_after.min(class.latency_target / 2) } else { 0 };
+        let retry_after = refusal::retry_advice(&self.settings, pending.class);
         actions.push(if self.may_refuse(pending) {
             Action::Refuse { request: id, retry_after }
         } else {
