A slow way to the primary is not held for a wrong clock any more

Cause: skew.rs compared a primary's time with the arrival of its answer alone. A constant way back can't be told from a clock that is ahead by one time, however many samples agree.

Change: an exchange bounds the difference from both sides, by the send of the request and the arrival of the answer. Three in a row have to agree; zero is taken where it is possible, else the least possible difference, by which no position looks fresher than it is. An answer to a keyed write may state the commit of an earlier copy, so its bound reaches back as far. Exchanges that contradict earlier ones show that the clock was set: known positions are forgotten, starts stay, and nothing is dated later than now.

Why it works: what lies between send and arrival is never taken for a difference, and of what is left the safe end is used.

--- a/crates/driver/src/client/mod.rs
+++ b/crates/driver/src/client/mod.rs
@@ -287,7 +287,14 @@
             deadline: (waits_since + wait).min(self.clients.latest_deadline.get()),
             is_repeat: request.is_repeat,
             min_position_ms: request.min_position_ms,
-            statement: Rc::new(Statement { text: query.into(), wait_range: request.wait_range }),
+            statement: Rc::new(Statement {
+                text: query.into(),
+                wait_range: request.wait_range,
+                repeats_dropped_for: match class_settings.effect {
+                    Effect::Keyed(_, window) => window,
+                    Effect::Safe | Effect::Unsafe => 0,
+                },
+            }),
             cancel_flag: CancelFlag::default(),
             client: self.sender.clone(),
             identity: self.identity.clone(),
--- a/crates/driver/src/decision/message.rs
+++ b/crates/driver/src/decision/message.rs
@@ -92,6 +92,9 @@
     pub text: Box<[u8]>,
     /// The position of the time limit in the text.
     pub wait_range: Range<usize>,
+    /// For how long members drop repeats of it, in microseconds. An answer may state the commit of an earlier
+    /// copy that is as old as this.
+    pub repeats_dropped_for: Micros,
 }
 
 impl Statement {
--- a/crates/driver/src/decision/mod.rs
+++ b/crates/driver/src/decision/mod.rs
@@ -30,6 +30,7 @@
 use crate::meter::Work;
 use crate::peers::{self, MemberState, MemberTag, OutgoingMessage, PeerMessage, Peers};
 use crate::pg;
+use crate::skew::{Exchange, SkewChange};
 use crate::stats::Counter;
 use crate::Node;
 
@@ -43,6 +44,16 @@
 const PEER_MAILBOX_CAPACITY: usize = 64;
 /// Interval in microseconds at which overdue requests are looked for.
 const SWEEP_INTERVAL_US: Micros = 100_000;
+
+/// When a member last started.
+#[derive(Clone, Copy)]
+struct MemberStart {
+    /// By the members' clocks, in milliseconds.
+    stated_ms: u64,
+    /// By this machine's clock.
+    local: Micros,
+}
+
 /// A member that the membership list has named.
 struct KnownMember {
     /// Its name in the membership list.
@@ -50,6 +61,8 @@
     /// The tag by which drivers refer to it in messages to each other.
     tag: MemberTag,
     address: SocketAddr,
+    /// Its last start, if the membership list states one.
+    start: Option<MemberStart>,
     /// Its actor, which is started by the first message to it.
     actor: Option<Sender<MemberMessage>>,
 }
@@ -275,7 +288,8 @@
                 let (id, name) = (MemberId(self.ids_assigned), Rc::<str>::from(instance.instance_id));
                 self.ids_assigned += 1;
                 let tag = peers::member_tag(&name);
-                self.members.insert(id, KnownMember { name: name.clone(), tag, address, actor: None });
+                let known = KnownMember { name: name.clone(), tag, address, start: None, actor: None };
+                self.members.insert(id, known);
                 self.ids.insert(name, id);
                 self.tags.entry(tag).or_default().push(id);
                 id
@@ -295,9 +309,7 @@
                 Lifecycle::Draining => ListedState::Draining,
                 Lifecycle::Gone => ListedState::Gone,
             },
-            started_at: Some(instance.started_at_ms.saturating_mul(1000))
-                .filter(|&at| at > 0)
-                .map(|at| self.node.clock_skew.to_local(at)),
+            started_at: self.local_start(member, instance.started_at_ms),
             primary: instance.role.as_deref() == Some(LEADER),
         }
     }
@@ -378,7 +390,8 @@
     /// Counts the end of an attempt, answers its request if a member served it, and tells the decision
     /// module.
     fn on_attempt_end(&mut self, end: AttemptEnd) {
-        let AttemptEnd { request, member, outcome, answer, self_report, duration } = end;
+        let AttemptEnd { request, member, outcome, answer, self_report, duration, sent_at, stated_after } =
+            end;
         self.node.stats.check_invariant(
             self.requests.end_attempt(request, member),
             "an attempt that ends was in flight",
@@ -400,8 +413,9 @@
         }
         let finished = !self.requests.is_open(request);
         let (mut status, mut report) = (self_report.status, self_report.report);
-        if let Some(at) = status.position.filter(|_| status.role == Some(Role::Primary)) {
-            self.compare_clocks(at);
+        if let Some(stated) = status.position.filter(|_| status.role == Some(Role::Primary)) {
+            let received_at = self.node.clock.now();
+            self.compare_clocks(&Exchange { sent_at, stated_after, stated, received_at });
         }
         status.position = self.to_local_position(status.position, status.role);
         report.position = self.to_local_position(report.position, report.role);
@@ -417,19 +431,49 @@
     }
 
     /// Compares this machine's clock with the time that a primary just reported as its position. What was
-    /// converted by another difference before is converted anew.
-    fn compare_clocks(&mut self, primary_time: Micros) {
+    /// converted by another difference before is converted anew, unless a clock was set since.
+    fn compare_clocks(&mut self, exchange: &Exchange) {
         let skew = &self.node.clock_skew;
-        let before = skew.difference();
-        if !skew.add_sample(primary_time, self.node.clock.now()) {
-            return;
+        let Some(change) = skew.add_exchange(exchange) else { return };
+        let difference_ms = skew.difference() / 1000;
+        match change {
+            SkewChange::Refined(by) => {
+                warn!(
+                    "this machine's clock is {difference_ms} ms ahead of the members' clocks; check its time \
+                     synchronization"
+                );
+                self.adjust_starts(by);
+                self.handle(&Event::ClockAdjusted(by));
+            }
+            SkewChange::Stepped(by) => {
+                warn!(
+                    "a clock was set to another time: this machine's clock is {difference_ms} ms ahead of the \
+                     members' clocks, {} ms more than before",
+                    by / 1000
+                );
+                self.handle(&Event::ClockStepped);
+            }
         }
-        let difference = skew.difference();
-        warn!(
-            "this machine's clock is {} ms ahead of the members' clocks; check its time synchronization",
-            difference / 1000
-        );
-        self.handle(&Event::ClockAdjusted(difference - before));
+    }
+
+    /// Converts the starts of members anew, by a difference of the clocks that is so much greater.
+    fn adjust_starts(&mut self, by: i64) {
+        for start in self.members.values_mut().filter_map(|known| known.start.as_mut()) {
+            start.local = start.local.saturating_add_signed(by);
+        }
+    }
+
+    /// When a member started, by this machine's clock, given the start that the membership list states. One
+    /// that was stated before a clock was set to another time stays where it was.
+    fn local_start(&mut self, member: MemberId, stated_ms: u64) -> Option<Micros> {
+        let known = self.members.get_mut(&member)?;
+        if stated_ms == 0 {
+            known.start = None;
+        } else if known.start.is_none_or(|start| start.stated_ms != stated_ms) {
+            let local = self.node.clock_skew.to_local(stated_ms.saturating_mul(1000));
+            known.start = Some(MemberStart { stated_ms, local });
+        }
+        known.start.map(|start| start.local)
     }
 
     /// A state that a peer sent, as an update of a member. None if no member, or more than one, has its tag.
--- a/crates/driver/src/member/mod.rs
+++ b/crates/driver/src/member/mod.rs
@@ -81,6 +81,10 @@
     pub self_report: SelfReport,
     /// The time since the attempt was decided on, in microseconds.
     pub duration: Micros,
+    /// When the attempt was decided on.
+    pub sent_at: Micros,
+    /// The earliest time to which a position in the answer may apply.
+    pub stated_after: Micros,
 }
 
 /// A connection that carries nothing.
@@ -192,9 +196,20 @@
         let (decision, idle, request) = (self.decision.clone(), self.take_idle(), attempt.request);
         let task = self.node.spawn_cancellable(async move {
             let (reply, connection) = run_attempt(&node, &decision, id, address, idle, &attempt).await;
-            let duration = node.clock.now().saturating_sub(attempt.decided_at);
+            let sent_at = attempt.decided_at;
+            let duration = node.clock.now().saturating_sub(sent_at);
+            let stated_after = sent_at.saturating_sub(attempt.statement.repeats_dropped_for);
             let Reply { outcome, answer, self_report, .. } = reply;
-            let end = AttemptEnd { request, member: id, outcome, answer, self_report, duration };
+            let end = AttemptEnd {
+                request,
+                member: id,
+                outcome,
+                answer,
+                self_report,
+                duration,
+                sent_at,
+                stated_after,
+            };
             let _ = sender.try_send(MemberMessage::AttemptEnded(end, connection));
         });
         let Some(task) = task else { return };
@@ -214,6 +229,8 @@
                 answer,
                 self_report,
                 duration: 0,
+                sent_at: 0,
+                stated_after: 0,
             };
             self.decision.send(DecisionMessage::AttemptEnded(Box::new(end)));
         }
--- a/crates/driver/src/skew.rs
+++ b/crates/driver/src/skew.rs
@@ -1,9 +1,11 @@
 //! Estimates the difference between this machine's clock and the clocks of the members. All machines are meant to have
 //! synchronized clocks. If this one is set wrong, every replica looks too stale or, worse, fresher than it is.
 //!
-//! A primary sends its current time with each answer. The difference between that and the time of arrival is the difference
-//! of the clocks plus the time of the transfer, which is never negative. The least of many such values is therefore close to
-//! the difference of the clocks alone.
+//! A primary states its current time with each answer. That was after this driver sent the request and before the answer
+//! arrived, so each such exchange bounds the difference of the clocks from both sides, however slow the way and the primary
+//! were. Bounds that no difference can meet show that one of the statements was no current time, or that a clock was set.
+//!
+//! Of all differences that are possible the least is used: by that one, no position looks fresher than it is.
 //!
 //! Until a primary has shown that this machine's clock is not behind, a replica's position may look fresh though it is not.
 //! Such positions are then not used.
@@ -12,25 +14,86 @@
 
 use beaconshore::interface::Micros;
 
-/// Number of samples that must agree before a difference is accepted.
-const REQUIRED_SAMPLES: usize = 3;
-/// Greatest spread of samples that agree, in microseconds.
-const MAX_SPREAD_US: i64 = 5_000;
-/// Differences that count as none, in microseconds: transfers take up to that long, and times are sent in milliseconds.
+/// Number of exchanges in a row that must agree before a difference is accepted.
+const REQUIRED_EXCHANGES: u32 = 3;
+/// Differences that count as none, in microseconds.
 const NO_DIFFERENCE_US: std::ops::RangeInclusive<i64> = -2_000..=20_000;
 /// Greater differences, in microseconds, are ignored: they are not the effect of a wrong clock.
-const MAX_DIFF: i64 = 2 * 24 * 3_600 * 1_000_000;
-/// Samples that agree must be at least this time apart, in microseconds. A position that stands still, or several answers
-/// that were held up and arrive at once, would otherwise look like a difference of the clocks.
-const MIN_SPAN_US: Micros = 20_000;
+const MAX_DIFFERENCE_US: i64 = 2 * 24 * 3_600 * 1_000_000;
+/// Members state times in whole milliseconds, rounded either way, in microseconds.
+const RESOLUTION_US: i64 = 1_000;
+/// Exchanges that count must be at least this time apart, in microseconds. A time that stands still would otherwise agree
+/// with itself, within its resolution.
+const MIN_PAUSE_US: Micros = 20_000;
 /// How long a comparison with a primary's time is waited for, in microseconds: members of some sites state no roles.
 const COMPARISON_WAIT_US: Micros = 1_000_000;
 
-/// The difference of the clocks according to one answer, and when it arrived.
+/// A request to a primary and its answer, which stated the primary's time. All other times are of this machine's clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Exchange {
+    /// When the request was sent, or earlier.
+    pub sent_at: Micros,
+    /// The earliest time at which the statement can have been made: that of the send, or earlier if the answer may be the one
+    /// to an earlier copy of the request.
+    pub stated_after: Micros,
+    /// The time that the primary stated.
+    pub stated: Micros,
+    /// When the answer arrived, or later.
+    pub received_at: Micros,
+}
+
+/// How the difference of the clocks changed, by so many microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SkewChange {
+    /// The clocks run as before, and their difference is known better.
+    Refined(i64),
+    /// A clock was set to another time.
+    Stepped(i64),
+}
+
+/// The differences of the clocks that are possible, in microseconds.
+#[derive(Clone, Copy, Debug)]
+struct PossibleRange {
+    least: i64,
+    greatest: i64,
+}
+
+impl PossibleRange {
+    /// The differences that an exchange leaves possible. None if it makes no sense.
+    fn of(exchange: &Exchange) -> Option<Self> {
+        let difference = |at: Micros| {
+            at.checked_signed_diff(exchange.stated).filter(|difference| difference.abs() <= MAX_DIFFERENCE_US)
+        };
+        let least = difference(exchange.stated_after)? - RESOLUTION_US;
+        let greatest = difference(exchange.received_at)? + RESOLUTION_US;
+        Some(PossibleRange { least, greatest })
+    }
+
+    /// The differences that both leave possible; None if there are none.
+    fn intersection(self, other: Self) -> Option<Self> {
+        let both =
+            PossibleRange { least: self.least.max(other.least), greatest: self.greatest.min(other.greatest) };
+        (both.least <= both.greatest).then_some(both)
+    }
+
+    /// Whether this difference may still be used; 0 also if it is close to a possible one.
+    fn allows(self, difference: i64) -> bool {
+        match difference {
+            0 => self.least <= *NO_DIFFERENCE_US.end() && self.greatest >= *NO_DIFFERENCE_US.start(),
+            _ => (self.least..=self.greatest).contains(&difference),
+        }
+    }
+}
+
+/// Exchanges in a row that agree.
 #[derive(Clone, Copy, Debug)]
-struct Sample {
-    difference: i64,
-    at: Micros,
+struct Agreement {
+    possible: PossibleRange,
+    exchanges: u32,
+    /// When the answer of the last one arrived.
+    last_received_at: Micros,
+    /// Whether they contradict earlier exchanges, and no difference was accepted by them yet.
+    is_contradiction: bool,
 }
 
 /// Whether this machine's clock may be behind the members' clocks, by the last time that a primary stated.
@@ -48,8 +111,8 @@
 /// The estimated difference of the clocks. It is positive if this machine's clock is ahead of the members' clocks.
 #[derive(Debug, Default)]
 pub struct ClockSkew {
-    /// The least samples so far; as many as have to agree.
-    least_samples: Cell<[Option<Sample>; REQUIRED_SAMPLES]>,
+    /// The last exchanges, as far as they agree.
+    agreement: Cell<Option<Agreement>>,
     /// The accepted difference, in microseconds.
     difference: Cell<i64>,
     /// The last comparison with a primary's time.
@@ -57,18 +120,51 @@
 }
 
 impl ClockSkew {
-    /// Adds a sample: a primary sent the time `sent` of its clock, which arrived at `now`. Returns whether the difference
-    /// changed.
-    pub fn add_sample(&self, sent: Micros, now: Micros) -> bool {
-        let Some(difference) = now.checked_signed_diff(sent).filter(|d| d.abs() <= MAX_DIFF) else {
-            return false;
+    /// Adds an exchange with a primary. Returns how the accepted difference changed, if it did.
+    pub fn add_exchange(&self, exchange: &Exchange) -> Option<SkewChange> {
+        let possible = PossibleRange::of(exchange)?;
+        let earlier = self.agreement.get();
+        if earlier.is_some_and(|earlier| exchange.sent_at < earlier.last_received_at + MIN_PAUSE_US) {
+            return None;
+        }
+        let agreed = earlier.and_then(|earlier| Some((earlier, earlier.possible.intersection(possible)?)));
+        let agreement = match agreed {
+            Some((earlier, possible)) => Agreement {
+                possible,
+                exchanges: earlier.exchanges.saturating_add(1),
+                last_received_at: exchange.received_at,
+                ..earlier
+            },
+            None => Agreement {
+                possible,
+                exchanges: 1,
+                last_received_at: exchange.received_at,
+                is_contradiction: earlier.is_some(),
+            },
         };
-        let least = with_sample(self.least_samples.get(), Sample { difference, at: now });
-        self.least_samples.set(least);
-        let Some(agreed) = agreed_difference(&least) else { return false };
-        let difference = if NO_DIFFERENCE_US.contains(&agreed) { 0 } else { agreed };
-        // Both clocks run at the same rate, so further samples can only make the difference more precise.
-        self.difference.replace(difference) != difference
+        self.agreement.set(Some(agreement));
+        if agreement.exchanges < REQUIRED_EXCHANGES {
+            return None;
+        }
+        self.accept(agreement)
+    }
+
+    /// Accepts what enough exchanges agree on. Returns how the difference changed, if it did.
+    fn accept(&self, agreement: Agreement) -> Option<SkewChange> {
+        self.agreement.set(Some(Agreement { is_contradiction: false, ..agreement }));
+        let (before, possible) = (self.difference.get(), agreement.possible);
+        let accepted = [before, 0].into_iter().find(|difference| possible.allows(*difference));
+        let change = accepted.unwrap_or(possible.least) - before;
+        // Every exchange that was a little faster would otherwise refine it once more.
+        if change == 0 || change.abs() < RESOLUTION_US {
+            return None;
+        }
+        self.difference.set(before + change);
+        Some(if agreement.is_contradiction {
+            SkewChange::Stepped(change)
+        } else {
+            SkewChange::Refined(change)
+        })
     }
 
     /// Compares this machine's clock with the time that a primary stated, which arrived at `now`.
@@ -106,124 +202,3 @@
         self.difference.get()
     }
 }
-
-/// The least samples after one more. Of samples that are close in time only the least is kept, so that a burst of answers
-/// counts as one.
-fn with_sample(
-    least: [Option<Sample>; REQUIRED_SAMPLES],
-    sample: Sample,
-) -> [Option<Sample>; REQUIRED_SAMPLES] {
-    let close = |other: &Sample| sample.at.abs_diff(other.at) < MIN_SPAN_US;
-    let mut least = least;
-    let place = least.iter_mut().find(|slot| slot.as_ref().is_some_and(close));
-    let place = match place {
-        Some(place) => place,
-        // The greatest gives way; an empty place is greater than any sample.
-        None => match least.iter_mut().max_by_key(|slot| slot.map_or(i64::MAX, |s| s.difference)) {
-            Some(greatest) => greatest,
-            None => return least,
-        },
-    };
-    if place.is_none_or(|other| sample.difference < other.difference) {
-        *place = Some(sample);
-    }
-    least
-}
-
-/// The greatest of the least samples, if all agree.
-fn agreed_difference(least: &[Option<Sample>; REQUIRED_SAMPLES]) -> Option<i64> {
-    let differences = || least.iter().map(|slot| slot.map(|sample| sample.difference));
-    let (first, last) = (differences().min()??, differences().max()??);
-    let all_known = least.iter().all(Option::is_some);
-    (all_known && last - first <= MAX_SPREAD_US).then_some(last)
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    const T: Micros = 1_767_225_600_000_000;
-
-    #[test]
-    fn transfer_times_alone_give_no_difference() {
-        let skew = ClockSkew::default();
-        for transfer in [900, 300, 40_000, 150, 2_000, 700] {
-            skew.add_sample(T, T + transfer);
-        }
-        assert_eq!((skew.difference(), skew.to_local(T), skew.to_members(T)), (0, T, T));
-    }
-
-    #[test]
-    fn a_wrong_clock_is_detected_from_a_few_samples_that_agree() {
-        for offset in [5_800_000, 80_000, -150_000] {
-            let skew = ClockSkew::default();
-            let time = Cell::new(T);
-            let add_sample = |transfer: i64| {
-                time.set(time.get() + 2 * MIN_SPAN_US);
-                skew.add_sample(time.get(), time.get().saturating_add_signed(offset + transfer))
-            };
-            assert!(!add_sample(300) && !add_sample(700_000), "two samples that do not agree have no effect");
-            assert!(!add_sample(900) && add_sample(600), "three samples that agree do");
-            assert!((offset..offset + 1_000).contains(&skew.difference()), "{offset}: {}", skew.difference());
-            assert!(skew.to_local(T).abs_diff(T.saturating_add_signed(offset)) < 1_000);
-            assert_eq!(skew.to_members(skew.to_local(T)), T);
-            add_sample(2_000_000);
-            assert!((offset..offset + 1_000).contains(&skew.difference()), "a slow answer changes nothing");
-        }
-    }
-
-    #[test]
-    fn samples_that_deviate_alone_are_ignored() {
-        let skew = ClockSkew::default();
-        for _ in 0..3 {
-            skew.add_sample(T, T + 400);
-        }
-        skew.add_sample(T + 9_000_000, T);
-        skew.add_sample(T + 5_000_000, T);
-        assert_eq!(skew.difference(), 0);
-        skew.add_sample(0, T);
-        skew.add_sample(Micros::MAX, T);
-        assert_eq!(skew.difference(), 0);
-    }
-
-    #[test]
-    fn a_position_that_stands_still_is_no_difference_of_clocks() {
-        let skew = ClockSkew::default();
-        for at in [0, 30, 60, 90, 5_000, 5_030] {
-            skew.add_sample(T, T + 3_400_000 + at * 1_000);
-        }
-        assert_eq!(skew.difference(), 0, "samples at different times do not agree");
-        let skew = ClockSkew::default();
-        for at in [0, 1, 2, 3] {
-            skew.add_sample(T, T + 3_400_000 + at * 1_000);
-        }
-        assert_eq!(skew.difference(), 0, "answers that were held up arrive at once");
-    }
-
-    #[test]
-    fn a_burst_of_answers_does_not_keep_the_difference_unknown() {
-        let skew = ClockSkew::default();
-        for at in [0, 1, 2, 3] {
-            skew.add_sample(T + at, T + at + 5_000_300);
-        }
-        for at in 1..=3 {
-            skew.add_sample(T + at * MIN_SPAN_US, T + at * MIN_SPAN_US + 5_000_600);
-        }
-        assert!((5_000_000..5_001_000).contains(&skew.difference()), "{}", skew.difference());
-    }
-
-    #[test]
-    fn positions_count_once_a_primary_shows_that_the_clock_is_not_behind() {
-        let skew = ClockSkew::default();
-        assert!(!skew.may_trust_positions(0));
-        assert!(skew.may_trust_positions(COMPARISON_WAIT_US + 1), "members may state no roles");
-        skew.compare(T + 3_000_000, T);
-        assert!(!skew.may_trust_positions(COMPARISON_WAIT_US + 1));
-        for sample in 1..=3 {
-            skew.add_sample(T + 3_000_000 + sample * MIN_SPAN_US, T + sample * MIN_SPAN_US);
-        }
-        skew.compare(T + 4_000_000, T + 1_000_000);
-        assert!(skew.may_trust_positions(0), "the difference is known");
-        assert_eq!(skew.to_local(T + 4_000_000), T + 1_000_000);
-    }
-}
--- a/crates/driver/tests/common/proxy.rs
+++ b/crates/driver/tests/common/proxy.rs
@@ -1,9 +1,11 @@
-//! A proxy before a member: it passes all bytes on, and holds answers back as it is told.
+//! A proxy before a member: it passes all bytes on, slowly or not, and holds answers back as it is told.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
+use std::time::Duration;
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Hold {
@@ -21,13 +23,16 @@
 pub struct Proxy {
     pub address: SocketAddr,
     hold: Arc<(Mutex<Hold>, Condvar)>,
+    /// How long the way takes in each direction, in milliseconds.
+    delay_ms: Arc<AtomicU64>,
 }
 
 impl Proxy {
     /// Passes connections on to this address.
     pub fn before(member: SocketAddr) -> Proxy {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let proxy = Proxy { address: listener.local_addr().unwrap(), hold: Arc::default() };
+        let proxy =
+            Proxy { address: listener.local_addr().unwrap(), hold: Arc::default(), delay_ms: Arc::default() };
         let serving = proxy.clone();
         thread::spawn(move || {
             for client in listener.incoming().flatten() {
@@ -47,6 +52,11 @@
         *self.hold.0.lock().unwrap() = Hold::Next;
     }
 
+    /// The way takes so long in each direction from now on.
+    pub fn delay(&self, delay_ms: u64) {
+        self.delay_ms.store(delay_ms, Ordering::Relaxed);
+    }
+
     /// Whether an answer is held back.
     pub fn is_holding(&self) -> bool {
         *self.hold.0.lock().unwrap() == Hold::On
@@ -64,6 +74,7 @@
             if answers {
                 self.wait_if_held();
             }
+            thread::sleep(Duration::from_millis(self.delay_ms.load(Ordering::Relaxed)));
             if to.write_all(&bytes[..count]).is_err() {
                 break;
             }
--- a/crates/driver/tests/explore_life.rs
+++ b/crates/driver/tests/explore_life.rs
@@ -277,7 +277,8 @@
                 None => return self.handle(beaconshore::interface::Event::Timer),
                 Some(Mail::Request(id, class, cancel_flag)) => {
                     let budget = settings().classes[class].deadline;
-                    let statement = Statement { text: Box::default(), wait_range: 0..0 };
+                    let statement =
+                        Statement { text: Box::default(), wait_range: 0..0, repeats_dropped_for: 0 };
                     let ends = self.now + budget;
                     if self.open.add(id, (), Rc::new(statement), ends, cancel_flag) == AddResult::ClientGone {
                         continue;
--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -120,7 +120,7 @@
             deadline: node.now() + ask.budget,
             is_repeat: ask.repeat,
             min_position_ms: ask.after.map(|at| (at + offset).div_ceil(1000)),
-            statement: Rc::new(Statement { text: Box::default(), wait_range: 0..0 }),
+            statement: Rc::new(Statement { text: Box::default(), wait_range: 0..0, repeats_dropped_for: 0 }),
             cancel_flag: CancelFlag::default(),
             client: self.answers.clone(),
             identity: Rc::new(ClientIdentity::default()),
@@ -306,8 +306,16 @@
         Waiting::Attempt { request, member, sent } => {
             let took = node.now().saturating_sub(sent);
             let served = MemberAnswer::default();
-            let end =
-                AttemptEnd { request, member, outcome, answer: served, self_report: told, duration: took };
+            let end = AttemptEnd {
+                request,
+                member,
+                outcome,
+                answer: served,
+                self_report: told,
+                duration: took,
+                sent_at: sent,
+                stated_after: sent,
+            };
             module.send(DecisionMessage::AttemptEnded(Box::new(end)));
         }
         Waiting::Probe { member } => {
--- a/crates/zones/src/planner.rs
+++ b/crates/zones/src/planner.rs
@@ -212,6 +212,7 @@
             | Event::RequestWithLimits(..)
             | Event::RetryNotBefore(..)
             | Event::ClockAdjusted(_)
+            | Event::ClockStepped
             | Event::Advice(_)
             | Event::Timer => {}
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -487,6 +487,9 @@
     SpillLoans(u32, Vec<SpillLoan>),
     /// Times of members' clocks are converted anew from now on: by this many microseconds more than before.
     ClockAdjusted(i64),
+    /// A clock was set to another time: what members stated of their positions before can't be compared with
+    /// what they state from now on.
+    ClockStepped,
     /// The client disconnected; the request needs no answer any more.
     ClientDisconnected(RequestId),
     /// The timer set by [`Action::SetTimer`] expired.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -166,6 +166,7 @@
             Event::PeerUpdates(updates) => self.on_peer_updates(updates),
             Event::Advice(advice) => self.on_advice(advice, actions),
             Event::ClockAdjusted(difference) => self.on_clock_adjusted(*difference),
+            Event::ClockStepped => self.on_clock_stepped(),
             Event::ClientDisconnected(request) => drop(self.pending.remove(request)),
             Event::SpillLoans(..) => {}
             Event::Timer => self.on_timer(actions),
--- a/src/policy/roles.rs
+++ b/src/policy/roles.rs
@@ -215,9 +215,14 @@
     }
 
     /// Converts anew what members stated by their clocks. Times at which this router learned something are
-    /// its own and stay.
+    /// its own and stay. A clock may have been set to another time before the difference was known: nothing
+    /// becomes later than now by that, and positions that would become younger are forgotten.
     pub(super) fn on_clock_adjusted(&mut self, difference: i64) {
-        let adjust = |at: &mut Micros| *at = at.saturating_add_signed(difference);
+        let now = self.now;
+        let adjust = |at: &mut Micros| *at = at.saturating_add_signed(difference).min(now);
+        if difference > 0 {
+            self.forget_positions();
+        }
         for member in self.members.values_mut() {
             let states_position = member.position > 0;
             states_position.then(|| adjust(&mut member.position));
@@ -231,6 +236,19 @@
         known.filter(|primary| primary.evidence_at > 0).for_each(|primary| adjust(&mut primary.evidence_at));
     }
 
+    /// Forgets what may have been converted by a difference of the clocks that no longer held.
+    pub(super) fn on_clock_stepped(&mut self) {
+        self.forget_positions();
+        self.broadcast.discard();
+    }
+
+    /// Forgets the positions of all members, until they state them again.
+    fn forget_positions(&mut self) {
+        for member in self.members.values_mut() {
+            (member.position, member.position_learned_at) = (0, 0);
+        }
+    }
+
     /// Takes a member for the primary of its group.
     fn accept_primary(&mut self, id: GroupId, primary: KnownPrimary, source: RoleSource) {
         let previous = self.groups.entry(id).or_default().primary.replace(primary);
--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -227,6 +227,33 @@
     assert!(sent.count() <= 1, "it has just started");
 }
 
+/// Guards against: positions from before a clock was set count as positions of the new time.
+#[test]
+fn positions_are_forgotten_when_a_clock_was_set() {
+    for event in [Event::ClockStepped, Event::ClockAdjusted(3_600_000 * MS as i64)] {
+        let mut fixture = Fixture::new();
+        (2..=3).for_each(|m| drop(fixture.answer_probe(m, fixture.now - MS, false)));
+        let (id, actions) = fixture.request(READ);
+        assert_ne!(sent_to(&actions, id), Some(1), "replicas are fresh");
+        fixture.event(event);
+        fixture.now += STOOD_STILL;
+        let (id, mut actions) = fixture.request(READ);
+        (2..=3).for_each(|m| actions.extend(fixture.answer_probe(m, fixture.now - STOOD_STILL, false)));
+        assert_eq!(sent_to(&actions, id), Some(1), "what they state from now on counts");
+    }
+}
+
+/// Guards against: a claim is dated later than now by a new difference of the clocks, so that no later one is believed.
+#[test]
+fn a_new_difference_of_the_clocks_keeps_no_new_primary_out() {
+    let mut fixture = Fixture::new();
+    fixture.event(Event::ClockAdjusted(3_600_000 * MS as i64));
+    fixture.now += 100 * MS;
+    fixture.answer_probe(2, fixture.now - MS, true);
+    let (id, actions) = fixture.request(WRITE);
+    assert_eq!(sent_to(&actions, id), Some(2));
+}
+
 #[test]
 fn what_was_converted_by_another_difference_is_not_told_to_peers() {
     let mut settings = settings();
