A role that is stated right after the start counts at once

Cause: answers to the first probes are held until the clocks are compared, for their positions' sake, and the role was held with them; so was the news that the member answered, which the zone planner counts as a round trip.

Change: holding is a state machine of its own. The role goes to the decision module at once (ProbeAnswered), and is not stated again when the position and the end of the probe follow, since a newer claim could be taken back by it then.

Also: planners forget positions when the difference of the clocks changes, as the decision module does.

--- a/crates/driver/src/decision/mod.rs
+++ b/crates/driver/src/decision/mod.rs
@@ -2,6 +2,7 @@
 //! requests (`open_requests`, which does no I/O), and is the only place where messages from other actors
 //! become events of the decision module and its actions become messages to other actors.
 
+mod held_probes;
 pub mod message;
 pub mod open_requests;
 mod primary_log;
@@ -16,7 +17,7 @@
 use async_io::Timer;
 use beaconshore::interface::{
     Action, AttemptResult, Event, GroupId, ListEntry, ListKind, ListedState, MemberId, MemberUpdate, Micros,
-    Outcome, PrimaryEvent, Report, Request, RequestId, Role, SpillLoan, ZoneId,
+    Outcome, PrimaryEvent, Request, RequestId, Role, SpillLoan, ZoneId,
 };
 use beaconshore_steering::{ConnectionInfo, Steering};
 use futures_lite::future;
@@ -34,6 +35,7 @@
 use crate::stats::Counter;
 use crate::Node;
 
+use held_probes::{HeldProbes, ProbeAnswer, Usable};
 pub use message::{ClientIdentity, ClientRequest, Confirmation, DecisionHandle, DecisionMessage, Statement};
 use open_requests::{AddResult, AttemptStart, OpenRequest, OpenRequests};
 
@@ -93,7 +95,7 @@
     /// When overdue requests were looked for last.
     last_sweep: Micros,
     /// Answers to the first probes, which wait for the comparison of the clocks.
-    held_probes: Vec<(MemberId, Outcome, Report)>,
+    held_probes: HeldProbes,
 }
 
 impl DecisionActor {
@@ -206,11 +208,10 @@
             DecisionMessage::RequestAbandoned(id) => self.on_request_abandoned(id),
             DecisionMessage::AttemptEnded(end) => self.on_attempt_end(*end),
             DecisionMessage::ProbeEnded(member, outcome, report) => {
-                let is_comparison = report.role == Some(Role::Primary) && report.position.is_some();
-                if report.position.is_some() && !is_comparison && self.awaits_comparison() {
-                    self.held_probes.push((member, outcome, report));
-                } else {
-                    self.on_probe_ended(member, outcome, report);
+                let awaits_comparison = self.awaits_comparison();
+                match self.held_probes.take(ProbeAnswer { member, outcome, report }, awaits_comparison) {
+                    Usable::Whole(answer) => self.on_probe_ended(answer),
+                    Usable::Role(role) => self.handle(&Event::ProbeAnswered { member, role }),
                 }
             }
             DecisionMessage::FailOpenRequests => self.fail_open_requests(),
@@ -228,7 +229,7 @@
         }
     }
 
-    fn on_probe_ended(&mut self, member: MemberId, outcome: Outcome, mut report: Report) {
+    fn on_probe_ended(&mut self, ProbeAnswer { member, outcome, mut report }: ProbeAnswer) {
         report.position = self.to_local_position(report.position, report.role);
         self.handle(&Event::ProbeEnded { member, outcome, report });
     }
@@ -243,9 +244,7 @@
         if self.held_probes.is_empty() || self.awaits_comparison() {
             return;
         }
-        for (member, outcome, report) in std::mem::take(&mut self.held_probes) {
-            self.on_probe_ended(member, outcome, report);
-        }
+        self.held_probes.release().into_iter().for_each(|answer| self.on_probe_ended(answer));
     }
 
     fn on_peer_message(&mut self, from: u32, message: PeerMessage) {
--- a/crates/driver/tests/roles.rs
+++ b/crates/driver/tests/roles.rs
@@ -120,6 +120,27 @@
     assert_no_read_is_served(&world, LONG);
 }
 
+/// Guards against: the role in an answer to a probe waits, with its position, until the clocks are compared.
+#[test]
+fn a_probe_that_denies_the_role_right_after_the_start_gets_a_former_primary_no_read() {
+    for _ in 0..3 {
+        let (former, follower) = (Member::start("s-leader", true), Member::start("s-follower", false));
+        // The list goes on to name the member that was the primary.
+        let discovery = Discovery::start(&[former.clone(), follower.clone()]);
+        let stands_at = unix_ms() - 5_000;
+        for member in [&former, &follower] {
+            member.set(|s| (s.leader, s.stands_at) = (false, Some(stands_at)));
+        }
+        let driver = Driver::start(config(&discovery));
+        let world = World { leader: former, follower, discovery, driver };
+        eventually("the former primary is probed", || world.leader.set(|s| s.probes) > 0);
+        // What an answer tells is known 100 ms after it was written.
+        thread::sleep(Duration::from_millis(150));
+        assert_no_read_is_served(&world, LONG);
+        assert_eq!(world.queries(), 0, "no read is sent");
+    }
+}
+
 #[test]
 fn half_an_answer_tells_only_that_a_member_is_no_primary() {
     let report = |role: &[u8], flag: &str| {
--- a/crates/zones/src/health.rs
+++ b/crates/zones/src/health.rs
@@ -230,6 +230,14 @@
         member.utilization = utilization.or(member.utilization);
     }
 
+    /// Forgets the positions of all members, until they report them again: the difference of the clocks by which they
+    /// were converted has changed.
+    pub fn forget_positions(&mut self) {
+        for member in self.members.values_mut() {
+            (member.position, member.position_heard_at) = (0, 0);
+        }
+    }
+
     /// Records that a peer heard of a member having reached a position. Positions are times, so the member
     /// was alive then.
     pub fn on_peer_update(&mut self, id: MemberId, position: Micros, now: Micros) {
--- a/crates/zones/src/planner.rs
+++ b/crates/zones/src/planner.rs
@@ -190,10 +190,12 @@
                     self.requests.remove(&ended.request);
                 }
             }
+            Event::ProbeAnswered { member, role } => {
+                self.record_probe_end(*member, Outcome::Served, now);
+                self.record_role(*member, *role);
+            }
             Event::ProbeEnded { member, outcome, report } => {
-                if let Some((zone, duration)) = self.health.on_probe_ended(*member, *outcome, now) {
-                    self.zone_order.record_round_trip(zone, duration);
-                }
+                self.record_probe_end(*member, *outcome, now);
                 if *outcome == Outcome::Served {
                     let zone = self.health.member(*member).and_then(|m| self.zones.get_mut(&m.zone));
                     zone.and_then(|z| z.state.ramp_up())
@@ -208,16 +210,21 @@
             }
             Event::ClientDisconnected(request) => drop(self.requests.remove(request)),
             Event::SpillLoans(from, loans) => self.on_loan_messages(*from, loans, now),
+            Event::ClockAdjusted(_) | Event::ClockStepped => self.health.forget_positions(),
             Event::Request(_)
             | Event::RequestWithLimits(..)
             | Event::RetryNotBefore(..)
-            | Event::ClockAdjusted(_)
-            | Event::ClockStepped
             | Event::Advice(_)
             | Event::Timer => {}
         }
     }
 
+    fn record_probe_end(&mut self, id: MemberId, outcome: Outcome, now: Micros) {
+        if let Some((zone, duration)) = self.health.on_probe_ended(id, outcome, now) {
+            self.zone_order.record_round_trip(zone, duration);
+        }
+    }
+
     fn record_role(&mut self, id: MemberId, role: Option<Role>) {
         if let Some(member) = self.health.member(id).filter(|_| role == Some(Role::Primary)) {
             self.primaries.insert(member.group, id);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -479,6 +479,13 @@
         /// Report of the member.
         report: Report,
     },
+    /// A member answered a probe. What it stated beside its role follows when the probe ends.
+    ProbeAnswered {
+        /// The member that was probed.
+        member: MemberId,
+        /// Its role, if it stated one.
+        role: Option<Role>,
+    },
     /// Another router sent what it learned from members.
     PeerUpdates(Vec<MemberUpdate>),
     /// The zone planner sent new advice.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -163,6 +163,7 @@
             Event::ProbeEnded { member, outcome, report } => {
                 self.on_probe_ended(*member, *outcome, report, actions)
             }
+            Event::ProbeAnswered { member, role } => self.on_probe_answered(*member, *role, actions),
             Event::PeerUpdates(updates) => self.on_peer_updates(updates),
             Event::Advice(advice) => self.on_advice(advice, actions),
             Event::ClockAdjusted(difference) => self.on_clock_adjusted(*difference),
--- a/src/policy/roles.rs
+++ b/src/policy/roles.rs
@@ -198,6 +198,13 @@
         });
     }
 
+    /// Records the role that a member stated in answer to a probe, and serves the member's group.
+    pub(super) fn on_probe_answered(&mut self, id: MemberId, role: Option<Role>, actions: &mut Vec<Action>) {
+        let Some(group) = self.members.get(&id).map(|member| member.group) else { return };
+        self.record_report(id, &Report { role, ..Report::default() });
+        self.serve_queue(group, actions);
+    }
+
     /// Records updates from a peer. How long they were on their way is unknown: an update applies to the time
     /// of its position.
     pub(super) fn on_peer_updates(&mut self, updates: &[MemberUpdate]) {
--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -227,6 +227,23 @@
     assert!(sent.count() <= 1, "it has just started");
 }
 
+/// Guards against: a denial counts only when the rest of the answer to its probe does.
+#[test]
+fn a_role_counts_before_the_probe_has_ended() {
+    let (mut fixture, _) = Fixture::unprobed(settings(), &entries());
+    let (id, actions) = fixture.request(WRITE);
+    assert_eq!(sent_to(&actions, id), Some(1), "the list names it");
+    let answered = |member, role| Event::ProbeAnswered { member: MemberId(member), role: Some(role) };
+    fixture.event(answered(1, Role::Replica));
+    let (id, actions) = fixture.request(WRITE);
+    assert_eq!(sent_to(&actions, id), None, "it is not the primary any more");
+    // The rest follows, without a role, and changes nothing about that.
+    let report = Report { position: Some(fixture.now - STOOD_STILL), ..Report::default() };
+    let ended = Event::ProbeEnded { member: MemberId(1), outcome: Outcome::Served, report };
+    let actions = fixture.event(ended);
+    assert_eq!(sent_to(&actions, id), None);
+}
+
 /// Guards against: positions from before a clock was set count as positions of the new time.
 #[test]
 fn positions_are_forgotten_when_a_clock_was_set() {
