A session's write counts though its answer told no commit

What callers saw: a session's write was served, its connection ended behind the row, and the session's next read was served by a replica without the write.

Cause: what an answer tells is dropped if it does not end as it should, the commit with it, and a session's write was only remembered with a commit. The same where positions are not used since the clock is behind.

Change: a served write was committed before its answer came; that time stands in for an unknown commit. It does not move back when the difference of the clocks is found.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -770,14 +770,9 @@
         pending.first_possible_run =
             pending.first_possible_run.or(possible_run.map(|sent| (sent, ended.member)));
         if ended.request_finished {
-            let write_mark = (pending.session, ended.status.position);
-            if let (true, (Some(session), Some(commit))) = (self.is_write(class), write_mark) {
-                self.sessions
-                    .entry(session)
-                    .and_modify(|known| *known = commit.max(*known))
-                    .or_insert(commit);
-            }
+            let session = pending.session;
             self.pending.remove(&id);
+            self.record_session_write(session, class, ended);
         } else if self.pending.get(&id).is_none_or(|pending| self.must_give_up(pending)) {
             self.refuse_or_fail(id, actions);
         } else {
@@ -786,6 +781,17 @@
         self.serve_queue(group, actions);
     }
 
+    /// Remembers the commit of a write, which later reads of its session must see. Where the answer did not state
+    /// it, or its position can't be judged, the write was committed before the answer came.
+    fn record_session_write(&mut self, session: Option<SessionId>, class: usize, ended: &AttemptResult) {
+        let latest = Some(self.now).filter(|_| ended.outcome == Outcome::Served);
+        let commit = ended.status.position.or(latest).filter(|_| self.is_write(class));
+        if let (Some(session), Some(commit)) = (session, commit) {
+            let known = self.sessions.entry(session).or_insert(commit);
+            *known = commit.max(*known);
+        }
+    }
+
     /// Returns whether another attempt is forbidden or is unlikely to end in time to earn anything.
     fn must_give_up(&self, pending: &PendingRequest) -> bool {
         let (class, service) = (&self.settings.classes[pending.class], &self.services[pending.class]);
--- a/src/policy/roles.rs
+++ b/src/policy/roles.rs
@@ -236,7 +236,9 @@
             (member.denial_heard_at > 0).then(|| adjust(&mut member.denial_position));
             member.started_at.iter_mut().for_each(adjust);
         }
-        self.sessions.values_mut().for_each(adjust);
+        // Some commits are times of this router's own.
+        let adjust_commit = |at: &mut Micros| *at = at.saturating_add_signed(difference.max(0)).min(now);
+        self.sessions.values_mut().for_each(adjust_commit);
         // They would be converted back by the new difference.
         self.broadcast.discard();
         let known = self.groups.values_mut().filter_map(|group| group.primary.as_mut());
--- a/tests/normal_operation.rs
+++ b/tests/normal_operation.rs
@@ -90,6 +90,44 @@
     assert_eq!(sent_to(&actions, id), Some(1), "no replica is known to have reached the commit");
 }
 
+/// Guards against: a session's write is forgotten if its answer told no commit, since the rest of it was cut off.
+#[test]
+fn a_session_sees_a_write_whose_answer_told_no_commit() {
+    let mut settings = settings();
+    settings.session_tracking = SessionTracking::Router;
+    let mut fixture = Fixture::ready(settings, &entries());
+    let session = |r: &mut Request| r.session = Some(SessionId(9));
+    let (id, _) = fixture.request_with(WRITE, 2_000 * MS, session);
+    fixture.now += 10 * MS;
+    fixture.end_attempt(id, 1, Outcome::Served, ReplyStatus::default());
+    let answered_at = fixture.now;
+    fixture.now += 300 * MS;
+    (2..=3).for_each(|m| drop(fixture.answer_probe(m, answered_at - 5 * MS, false)));
+    let (id, actions) = fixture.request_with(SESSION, 2_000 * MS, session);
+    assert_eq!(sent_to(&actions, id), Some(1), "no replica has it for certain");
+    (2..=3).for_each(|m| drop(fixture.answer_probe(m, answered_at, false)));
+    let (id, actions) = fixture.request_with(SESSION, 2_000 * MS, session);
+    assert_ne!(sent_to(&actions, id), Some(1), "replicas have it");
+}
+
+/// Guards against: a write that was dated by this machine's clock moves back when that was found to be behind.
+#[test]
+fn a_session_sees_its_write_after_the_clock_was_found_to_be_behind() {
+    const BEHIND: Micros = 5_000 * MS;
+    let mut settings = settings();
+    settings.session_tracking = SessionTracking::Router;
+    let mut fixture = Fixture::ready(settings, &entries());
+    let session = |r: &mut Request| r.session = Some(SessionId(9));
+    let (id, _) = fixture.request_with(WRITE, 2_000 * MS, session);
+    fixture.end_attempt(id, 1, Outcome::Served, ReplyStatus::default());
+    let answered_at = fixture.now;
+    fixture.event(Event::ClockAdjusted(-(BEHIND as i64)));
+    fixture.now += 300 * MS;
+    (2..=3).for_each(|m| drop(fixture.answer_probe(m, answered_at - 5 * MS, false)));
+    let (id, actions) = fixture.request_with(SESSION, 2_000 * MS, session);
+    assert_eq!(sent_to(&actions, id), Some(1));
+}
+
 #[test]
 fn a_forgotten_session_still_sees_its_old_writes() {
     let mut settings = settings();
