A request that is read late is not sent on for a client that has gone

What callers saw: clients sent writes while the driver stood still and closed their connections; the writes were sent to the primary and run up to 0.4 s after the close.

Cause: the end of a connection was looked for only after the request before it had been handed on.

Change: before requests are taken from what was read late, by more than 20 ms or within 0.1 s after a stall, the socket is asked whether the client has closed it.

--- a/crates/driver/src/client/mod.rs
+++ b/crates/driver/src/client/mod.rs
@@ -40,6 +40,9 @@
 /// Messages of one connection that are processed before other actors get their turn.
 const MAX_MESSAGES_PER_TURN: usize = 16;
 
+/// Input that was read later than this, in microseconds, may be of a client that has left since.
+const MAX_READ_DELAY_US: Micros = 20_000;
+
 /// The connections of all clients.
 pub struct Clients {
     node: Rc<Node>,
@@ -169,6 +172,9 @@
     /// Serves the connection to its end. An error ends it without an orderly shutdown.
     async fn serve(&mut self) -> io::Result<()> {
         loop {
+            if self.has_left_unnoticed() {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
             let turn_ended = self.process_messages();
             let wrote = self.flush()?;
             let (phase, begun) = (self.clients.phase.get(), self.has_begun_message());
@@ -473,6 +479,15 @@
         ready.is_ok_and(|count| count > 0) && polled[0].revents().intersects(disconnected)
     }
 
+    /// Whether the client has gone since it sent what is in the buffer, which was read late. The end of its connection
+    /// is still behind that.
+    fn has_left_unnoticed(&self) -> bool {
+        let (node, now) = (&self.clients.node, self.clients.node.clock.now());
+        let was_late =
+            self.received_at + MAX_READ_DELAY_US < now || node.stall_detector.may_have_backlog(now);
+        was_late && !self.buffer.filled().is_empty() && self.has_disconnected()
+    }
+
     /// Abandons the open requests, since the client is gone.
     fn abandon_requests(&mut self) {
         let abandoned = self.connection.disconnected();
--- a/crates/driver/tests/crossings.rs
+++ b/crates/driver/tests/crossings.rs
@@ -8,7 +8,7 @@
 
 use common::client::{query, startup};
 use common::driver::{config, Driver};
-use common::{eventually, read, take, write, Behaviour, Client, Discovery, World};
+use common::{eventually, large_write, read, take, write, Behaviour, Client, Discovery, World};
 
 /// Once a client has gone, no attempt for it begins after this; some more for a busy machine.
 const LEFT: Duration = Duration::from_millis(150);
@@ -87,6 +87,70 @@
     none_is_sent_on(&world);
 }
 
+/// Guards against: what clients sent while the driver stood still is sent on, though they have left since.
+#[test]
+fn clients_that_left_while_the_driver_stood_still_are_not_sent_on() {
+    let world = World::start();
+    assert!(world.client().ask(&write(5_000)).is_served());
+    let before = at_leader(&world);
+    for _ in 0..10 {
+        let mut clients: Vec<Client> = (0..8).map(|_| world.client()).collect();
+        world.driver.signal("STOP");
+        clients.iter_mut().for_each(|client| client.send(&query(&write(5_000))));
+        thread::sleep(Duration::from_millis(50));
+        drop(clients);
+        thread::sleep(Duration::from_millis(350));
+        world.driver.signal("CONT");
+        thread::sleep(Duration::from_millis(200));
+    }
+    assert_eq!(at_leader(&world), before, "a request was sent on whose client had gone");
+    assert!(world.client().ask(&write(5_000)).is_served());
+}
+
+/// Guards against: requests that wait when the driver is stopped go out when it runs again, before their clients' leaving is
+/// read.
+#[test]
+fn clients_that_left_with_requests_in_line_while_the_driver_stood_still_are_not_sent_on() {
+    let world = World::start();
+    for _ in 0..10 {
+        world.leader.set(|s| s.pause = Duration::from_millis(50));
+        let before = at_leader(&world);
+        let mut clients: Vec<Client> = (0..30).map(|_| world.client()).collect();
+        clients.iter_mut().for_each(|client| client.send(&query(&write(5_000))));
+        eventually("some are under way", || at_leader(&world) > before);
+        world.driver.signal("STOP");
+        // What is under way is answered meanwhile, which makes room for more.
+        thread::sleep(Duration::from_millis(100));
+        let before = at_leader(&world);
+        drop(clients);
+        thread::sleep(Duration::from_millis(300));
+        world.leader.set(|s| s.pause = Duration::ZERO);
+        world.driver.signal("CONT");
+        thread::sleep(Duration::from_millis(300));
+        assert_eq!(at_leader(&world), before, "a request was sent on whose client had gone");
+        assert!(world.client().ask(&write(5_000)).is_served());
+    }
+}
+
+/// Guards against: a large request that waits for memory is sent on, though its client has left since.
+#[test]
+fn a_client_that_leaves_while_its_request_waits_for_memory_is_not_sent_on() {
+    let world = World::with(|config| config["limits"]["memory_mb"] = 16.into());
+    world.leader.behave(Behaviour::Silent);
+    let before = at_leader(&world);
+    let mut holders: Vec<Client> = (0..3).map(|_| world.client()).collect();
+    holders.iter_mut().for_each(|holder| holder.send(&query(&large_write(4_000, 40_000))));
+    eventually("all memory is held", || at_leader(&world) == before + 3);
+    let mut clients: Vec<Client> = (0..3).map(|_| world.client()).collect();
+    clients.iter_mut().for_each(|client| client.send(&query(&large_write(4_000, 40_000))));
+    thread::sleep(Duration::from_millis(50));
+    drop(clients);
+    thread::sleep(LEFT);
+    drop(holders);
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(at_leader(&world), before + 3, "a request was sent on whose client had gone");
+}
+
 #[test]
 fn a_client_that_goes_while_a_connection_for_it_comes_up_is_not_sent_on() {
     let world = World::start();
