--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -781,8 +781,8 @@
         self.serve_queue(group, actions);
     }
 
-    /// Remembers the commit of a write, which later reads of its session must see. Where the answer did not state
-    /// it, or its position can't be judged, the write was committed before the answer came.
+    /// Remembers the commit of a write, which later reads of its session must see. Where the answer did not
+    /// state it, or its position can't be judged, the write was committed before the answer came.
     fn record_session_write(&mut self, session: Option<SessionId>, class: usize, ended: &AttemptResult) {
         let latest = Some(self.now).filter(|_| ended.outcome == Outcome::Served);
         let commit = ended.status.position.or(latest).filter(|_| self.is_write(class));
