--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -575,6 +575,8 @@
     child: Child,
     pub folder: PathBuf,
     record: Record,
+    config: String,
+    discovery: SocketAddr,
 }
 
 /// A free port of 127.0.0.1.
@@ -618,7 +620,7 @@
         command.env("BEACONSHORE_ENDS_WITH_PARENT", "1").envs(variables);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
         let child = command.spawn().map_err(|e| e.to_string())?;
-        let driver = Driver { address, child, folder, record: record.clone() };
+        let driver = Driver { address, child, folder, record: record.clone(), config, discovery };
         let until = Instant::now() + Duration::from_secs(10);
         while Instant::now() < until {
             if let Ok(mut client) = Client::connect(address) {
@@ -641,6 +643,19 @@
         self.record.note(format!("signal {name} to the driver"));
     }
 
+    /// Gives it a new configuration that names this discovery, with SIGHUP.
+    pub fn move_discovery(&mut self, to: SocketAddr) {
+        self.config = self.config.replace(
+            &format!(r#""discovery":"{}""#, self.discovery),
+            &format!(r#""discovery":"{to}""#),
+        );
+        self.discovery = to;
+        let (path, new) = (self.folder.join("config.json"), self.folder.join("config.json.new"));
+        fs::write(&new, &self.config).and_then(|()| fs::rename(&new, &path)).expect("the configuration is written");
+        self.record.note(format!("a new configuration names discovery at {to}"));
+        self.signal("HUP");
+    }
+
     /// How it ended, if it has.
     pub fn ended(&mut self) -> Option<String> {
         self.child.try_wait().ok().flatten().map(|status| status.to_string())
