--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -89,7 +89,10 @@
         for arrival in sends.iter().filter(|arrival| arrival.first_byte > drained_at) {
             let after = (arrival.first_byte - drained_at).as_secs_f64();
             let verdict = if arrival.first_byte > last_allowed { ": BROKEN" } else { "" };
-            record.note_at(arrival.first_byte, format!("sent {after:.3} s after the drain{verdict}: {}", arrival.text));
+            record.note_at(
+                arrival.first_byte,
+                format!("sent {after:.3} s after the drain{verdict}: {}", arrival.text),
+            );
         }
         let (calls, lists) = discovery.with(|state| (state.calls, state.full_lists_sent));
         record.say(format!(
--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -269,12 +269,7 @@
 
     fn report(&self) -> String {
         let (leader, position) = self.with(|state| (state.leader, unix_ms() - state.lag_ms));
-        format!(
-            "x0={}.{:03},x1={},utilization=0.2,backlog=0",
-            position / 1000,
-            position % 1000,
-            u8::from(leader)
-        )
+        format!("x0={}.{:03},x1={},utilization=0.2,backlog=0", position / 1000, position % 1000, u8::from(leader))
     }
 }
 
@@ -330,7 +325,32 @@
     format!(r#"{{"generation":{generation},"reset":{reset},"instances":[{}]}}"#, instances.join(","))
 }
 
+/// The same list, indented and on several lines.
+pub fn indented(json: &str) -> String {
+    let (mut out, mut depth, mut in_text) = (String::new(), 0_usize, false);
+    for c in json.chars() {
+        in_text ^= c == '"';
+        match c {
+            '{' | '[' if !in_text => {
+                depth += 1;
+                out.push(c);
+                out.push_str(&format!("\n{}", "    ".repeat(depth)));
+            }
+            '}' | ']' if !in_text => {
+                depth -= 1;
+                out.push_str(&format!("\n{}{c}", "    ".repeat(depth)));
+            }
+            ',' if !in_text => out.push_str(&format!(",\n{}", "    ".repeat(depth))),
+            ':' if !in_text => out.push_str(": "),
+            c => out.push(c),
+        }
+    }
+    out
+}
+
 pub struct DiscoveryState {
+    /// Whether lists come indented.
+    pub indents: bool,
     pub generation: u64,
     pub entries: Vec<Entry>,
     /// The changes so far: each with the version that it leads to.
@@ -352,6 +372,7 @@
     pub fn start(entries: Vec<Entry>, record: &Record) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let state = DiscoveryState {
+            indents: false,
             generation: 41,
             entries,
             changes: Vec::new(),
@@ -413,7 +434,8 @@
         self.record.note(format!("discovery is asked: {target}"));
         thread::sleep(delay);
         if !target.contains("watch=1") {
-            let body = self.known();
+            let indents = self.with(|state| state.indents);
+            let body = if indents { indented(&self.known()) } else { self.known() };
             let head = format!(
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 body.len()
@@ -437,6 +459,7 @@
                 .iter()
                 .filter(|(version, _)| *version > from)
                 .map(|(version, changed)| list_json(*version, false, changed))
+                .map(|line| if state.indents { indented(&line) } else { line })
                 .collect();
             from = state.generation;
             drop(state);
@@ -645,13 +668,14 @@
 
     /// Gives it a new configuration that names this discovery, with SIGHUP.
     pub fn move_discovery(&mut self, to: SocketAddr) {
-        self.config = self.config.replace(
-            &format!(r#""discovery":"{}""#, self.discovery),
-            &format!(r#""discovery":"{to}""#),
-        );
+        self.config = self
+            .config
+            .replace(&format!(r#""discovery":"{}""#, self.discovery), &format!(r#""discovery":"{to}""#));
         self.discovery = to;
         let (path, new) = (self.folder.join("config.json"), self.folder.join("config.json.new"));
-        fs::write(&new, &self.config).and_then(|()| fs::rename(&new, &path)).expect("the configuration is written");
+        fs::write(&new, &self.config)
+            .and_then(|()| fs::rename(&new, &path))
+            .expect("the configuration is written");
         self.record.note(format!("a new configuration names discovery at {to}"));
         self.signal("HUP");
     }
