--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -62,8 +62,7 @@
         let entries: Vec<Entry> = members.iter().map(Entry::of).collect();
         let (old, new) = (Discovery::start(entries.clone(), record), Discovery::start(entries, record));
         record.note(format!("discovery: first at {}, then at {}", old.address, new.address));
-        let mut driver =
-            Driver::start(record, old.address, &old.known(), LIMITS, SETTINGS, &HashMap::new())?;
+        let mut driver = Driver::start(record, old.address, &old.known(), LIMITS, SETTINGS, &HashMap::new())?;
         let address = driver.address;
         for number in 0..CLIENTS {
             thread::spawn(move || read_on(address, number));
@@ -77,7 +76,11 @@
         let drained_at = Instant::now();
         old.change(change.clone());
         sleep_ms(MOVED_AFTER_MS);
-        if draining.arrivals().iter().any(|arrival| arrival.first_byte > drained_at + Duration::from_millis(GRACE_MS)) {
+        if draining
+            .arrivals()
+            .iter()
+            .any(|arrival| arrival.first_byte > drained_at + Duration::from_millis(GRACE_MS))
+        {
             return Err("the drain was not heeded before the new configuration".into());
         }
         if has_trouble() {
@@ -91,7 +94,10 @@
         let late: Vec<&Arrival> = sends.iter().filter(|arrival| arrival.first_byte > last_allowed).collect();
         for arrival in &late {
             let after = (arrival.first_byte - drained_at).as_secs_f64();
-            record.note_at(arrival.first_byte, format!("sent {after:.3} s after the drain: BROKEN: {}", arrival.text));
+            record.note_at(
+                arrival.first_byte,
+                format!("sent {after:.3} s after the drain: BROKEN: {}", arrival.text),
+            );
         }
         record.say(format!("{} requests reached the draining member later than the grace", late.len()));
         Ok(late.len())
