--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -1,24 +1,25 @@
-//! Case 6: some clients send many commands at once; the reads of other clients are answered seconds after their time.
+//! Case 6: a primary drains and hands over; meanwhile the driver takes its own clock for wrong, and serves reads from
+//! data that is too old.
 
 #[path = "../standins-2/common.rs"]
 mod common;
 
 use std::collections::HashMap;
-use std::io::Write;
 use std::net::SocketAddr;
-use std::sync::{Arc, Barrier};
+use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use common::*;
 
 /// Figures of cairo-readings, under the names of the settings.
 const SETTINGS: &str = r#"{
-    "discovery": "pushed", "nInstances": 1, "stepUs": 5000, "zone": 0, "zones": ["a", "b", "c"],
+    "discovery": "pushed", "nInstances": 3, "stepUs": 5000, "zone": 0,
+    "zones": ["nasr-city", "sixth-october", "new-cairo"],
     "extra": {"consistency": ["recent", "update"], "stalenessBoundUs": [200000, 0], "guards": "silent",
         "sessionMarks": "client", "zeroUs": 0},
-    "limits": {"connIdleUs": 30000000, "connectTimeoutUs": 250000, "maxAttempts": 8, "maxOpen": 20000,
-        "maxRetryAfterUs": 1000000, "peerMessages": false, "probes": true, "retryAfter": true},
+    "limits": {"connIdleUs": 30000000, "connectTimeoutUs": 250000, "maxAttempts": 8, "maxRetryAfterUs": 1000000,
+        "peerMessages": true, "probes": true, "retryAfter": true},
     "loadReport": {"fields": ["x0", "x1", "utilization"], "how": "piggyback"},
     "requestClasses": [
         {"name": "reading-view", "aimUs": 250000, "deadlineUs": 1000000, "idempotency": "idempotent",
@@ -29,128 +30,152 @@
         "drainGraceUs": 500000}}"#;
 const LIMITS: &str = r#"{"cores":1.0,"memory_mb":192,"sockets":1024}"#;
 
-/// Clients that write alarm records, and how many commands each sends at once with the disruption.
-const WRITERS: usize = 100;
-const COMMANDS_AT_ONCE: usize = 64;
-/// How long a writer waits for each answer.
-const WRITE_WAIT_MS: u64 = 5_000;
-/// Clients that read, one command at a time, on connections of their own.
-const READERS: usize = 20;
-/// How long a reader waits: 40% of what the class gives.
-const READ_WAIT_MS: u64 = 400;
-/// After this, beyond the time of the request, it is lost; 50 ms more on sockets.
-const LOST_AFTER_MS: u64 = 550;
+/// How old data may be when a read is sent, and the slack on sockets.
+const BOUND_MS: u64 = 200;
+const SLACK_MS: u64 = 50;
+/// How long a primary that drains takes to hand over.
+const HAND_OVER_MS: u64 = 900;
+/// How late the list tells of a drain.
+const NOTICE_MS: u64 = 2_000;
+const ZONES: [&str; 3] = ["nasr-city", "sixth-october", "new-cairo"];
+/// Twelve members; a quarter of them, the primaries, drains at once.
+const DRIVERS: usize = 3;
+const GROUPS: usize = 3;
+const GROUP_SIZE: usize = 4;
+const ROUNDS: usize = 6;
+const BETWEEN_ROUNDS_MS: u64 = 5_000;
+/// Work of a request.
+const WORK_MS: u64 = 60;
+const READERS: usize = 12;
+const WRITERS: usize = 4;
 
-fn write_command(writer: usize, number: usize) -> String {
-    format!(
-        "/* id={},c=alarm-log,d={WRITE_WAIT_MS},k={writer:04x}{number:04x},cluster=1 */ INSERT INTO entries (ref, \
-         payload) VALUES ('{writer:08x}{number:08x}', '\\x9f03') RETURNING payload",
-        new_id()
-    )
-}
-
-/// A client that writes: all its commands at once, then it reads the answers.
-fn write(record: Record, address: SocketAddr, writer: usize, start: Arc<Barrier>) {
-    let count = if has_trouble() { COMMANDS_AT_ONCE } else { 1 };
-    let batch: Vec<u8> =
-        (0..count).flat_map(|number| query_message(&write_command(writer, number))).collect();
-    let client = Client::connect(address);
-    start.wait();
-    let Ok(mut client) = client else { return record.note(format!("writer {writer}: no connection")) };
-    let sent_at = Instant::now();
-    if client.stream.write_all(&batch).is_err() {
-        return record.note(format!("writer {writer}: the connection broke"));
+fn unless_closed(client: &mut std::io::Result<Client>, address: SocketAddr, command: &str) -> Answer {
+    let Ok(connected) = client else { return Answer::Closed };
+    let answer = connected.ask(command, Duration::from_secs(6));
+    if matches!(answer, Answer::Closed | Answer::None) {
+        *client = Client::connect(address);
     }
-    record.note_at(sent_at, format!("writer {writer}: {count} commands sent"));
-    let mut ends: HashMap<String, usize> = HashMap::new();
-    for _ in 0..count {
-        let answer = client.answer(sent_at + Duration::from_secs(40));
-        *ends.entry(answer.word()).or_default() += 1;
-        if matches!(answer, Answer::Closed | Answer::None) {
-            break;
-        }
-    }
-    record.note(format!("writer {writer}: {ends:?}"));
+    answer
 }
 
-/// A client that reads once before the writers begin and once after. True if the second answer came after its
-/// time and half a second, or never.
-fn read(record: Record, address: SocketAddr, reader: usize, start: Arc<Barrier>) -> Result<bool, String> {
-    let client = Client::connect(address);
-    let command = |id: &str| {
-        format!(
-            "/* id={id},c=reading-view,d={READ_WAIT_MS},cluster=1 */ SELECT payload FROM entries WHERE ref = '{reader:08x}'"
-        )
-    };
-    let mut client = match client {
-        Ok(client) => client,
-        Err(e) => {
-            start.wait();
-            return Err(e.to_string());
-        }
-    };
-    let first = client.ask(&command(&new_id()), Duration::from_secs(10));
-    start.wait();
-    if !matches!(first, Answer::Served(_)) {
-        return Err(format!("reader {reader} was not served before: {first:?}"));
+fn client(address: SocketAddr, number: usize, writes: bool, answers: Arc<Mutex<HashMap<String, usize>>>) {
+    let mut connection = Client::connect(address);
+    let mut group = number;
+    while connection.is_ok() {
+        group = (group + 1) % GROUPS;
+        let id = new_id();
+        let command = if writes {
+            format!(
+                "/* id={id},c=alarm-log,d=2000,k={id},cluster={group} */ INSERT INTO entries (ref, payload) VALUES \
+                 ('{number:08x}', '\\x9f03') RETURNING payload"
+            )
+        } else {
+            format!("/* id={id},c=reading-view,d=600,cluster={group} */ SELECT payload FROM entries WHERE ref = '{number:08x}'")
+        };
+        let answer = unless_closed(&mut connection, address, &command);
+        let kind = if writes { "writes" } else { "reads" };
+        *answers.lock().unwrap().entry(format!("{kind} {}", answer.word())).or_default() += 1;
+        sleep_ms(if writes { 120 } else { 100 });
     }
-    sleep_ms(50 + 50 * reader as u64);
-    let mut sent_at = Instant::now();
-    let mut answer = client.ask(&command(&new_id()), Duration::from_secs(40));
-    if answer == Answer::Closed {
-        // It crossed the end of the connection: sent one more time on a new one.
-        client = Client::connect(address).map_err(|e| e.to_string())?;
-        sent_at = Instant::now();
-        answer = client.ask(&command(&new_id()), Duration::from_secs(40));
-    }
-    let took = sent_at.elapsed();
-    let lost = took > Duration::from_millis(READ_WAIT_MS + LOST_AFTER_MS)
-        || matches!(answer, Answer::Closed | Answer::None);
-    record.note_at(
-        sent_at,
-        format!(
-            "reader {reader}: one command sent, {} after {:.3} s{}",
-            answer.word(),
-            took.as_secs_f64(),
-            if lost { ": LOST" } else { "" }
-        ),
-    );
-    Ok(lost)
 }
 
 fn main() {
     run_case(|record| {
-        let members: Vec<Member> =
-            (0..4).map(|n| Member::start(&format!("s-{n:08x}"), "a", 1, n == 0, 60)).collect();
-        let discovery = Discovery::start(members.iter().map(Entry::of).collect(), record);
-        let driver =
-            Driver::start(record, discovery.address, &discovery.known(), LIMITS, SETTINGS, &HashMap::new())?;
-        sleep_ms(1_000);
-        let address = driver.address;
-        let start = Arc::new(Barrier::new(WRITERS + READERS));
-        let writers: Vec<_> = (0..WRITERS)
-            .map(|n| {
-                let (record, start) = (record.clone(), start.clone());
-                thread::spawn(move || write(record, address, n, start))
-            })
-            .collect();
-        let readers: Vec<_> = (0..READERS)
-            .map(|n| {
-                let (record, start) = (record.clone(), start.clone());
-                thread::spawn(move || read(record, address, n, start))
-            })
-            .collect();
-        let mut lost = 0;
-        for reader in readers {
-            lost += usize::from(reader.join().map_err(|_| "a reader failed")??);
+        let start = |n: usize, group: u32, leader: bool| {
+            let member = Member::start(&format!("s-{n:08x}"), ZONES[n % ZONES.len()], group, leader, WORK_MS);
+            member.with(|state| state.work_varies = true);
+            member
+        };
+        let mut all = Vec::new();
+        // The members of each group, the primary first.
+        let mut groups: Vec<Vec<Member>> = Vec::new();
+        for group in 0..GROUPS {
+            let members: Vec<Member> =
+                (0..GROUP_SIZE).map(|n| start(group * GROUP_SIZE + n, group as u32, n == 0)).collect();
+            all.extend(members.iter().cloned());
+            groups.push(members);
+        }
+        let discovery = Discovery::start(all.iter().map(Entry::of).collect(), record);
+        let peers: Vec<String> = (0..DRIVERS).map(|_| format!("\"{}\"", free_address())).collect();
+        let mut drivers = Vec::new();
+        for peer in &peers {
+            let keys = format!(r#""peer_listen":{peer},"peers":[{}],"#, peers.join(","));
+            let (known, none) = (discovery.known(), HashMap::new());
+            drivers.push(Driver::start_with(
+                record,
+                discovery.address,
+                &known,
+                LIMITS,
+                SETTINGS,
+                &none,
+                &keys,
+            )?);
+        }
+        let answers = Arc::new(Mutex::new(HashMap::new()));
+        for number in 0..DRIVERS * (READERS + WRITERS) {
+            let (answers, address) = (answers.clone(), drivers[number % DRIVERS].address);
+            thread::spawn(move || client(address, number, number < DRIVERS * WRITERS, answers));
+        }
+        sleep_ms(3_000);
+        for round in 0..ROUNDS {
+            if !has_trouble() {
+                sleep_ms(NOTICE_MS + 1_000 + BETWEEN_ROUNDS_MS);
+                continue;
+            }
+            let old: Vec<Member> = groups.iter_mut().map(|group| group.remove(0)).collect();
+            // They drain: until each has handed over, its group takes no writes, and all positions stand still.
+            let now = unix_ms();
+            for (old, group) in old.iter().zip(&groups) {
+                record.note(format!("round {round}: {} drains and hands over", old.name));
+                old.with(|state| (state.hands_over, state.stands_at_ms) = (true, Some(now)));
+                group.iter().for_each(|m| m.with(|state| state.stands_at_ms = Some(now - state.lag_ms)));
+            }
+            sleep_ms(HAND_OVER_MS);
+            for (old, group) in old.iter().zip(&groups) {
+                group[0].with(|state| (state.leader, state.was_primary, state.lag_ms) = (true, true, 0));
+                old.with(|state| (state.leader, state.hands_over, state.lag_ms) = (false, false, 5));
+                old.with(|state| state.stands_at_ms = None);
+                group.iter().for_each(|m| m.with(|state| state.stands_at_ms = None));
+                record.note(format!("round {round}: {} is the primary", group[0].name));
+            }
+            sleep_ms(NOTICE_MS - HAND_OVER_MS);
+            discovery.change(old.iter().map(|m| Entry { lifecycle: "draining", ..Entry::of(m) }).collect());
+            sleep_ms(1_000);
+            // Their successors join, and the list names the primaries.
+            let mut changed: Vec<Entry> =
+                old.iter().map(|m| Entry { lifecycle: "gone", ..Entry::of(m) }).collect();
+            for (number, group) in groups.iter_mut().enumerate() {
+                let successor = start(all.len(), number as u32, false);
+                changed.push(Entry { started_at_ms: unix_ms(), ..Entry::of(&successor) });
+                changed.push(Entry::of(&group[0]));
+                all.push(successor.clone());
+                group.push(successor);
+            }
+            discovery.change(changed);
+            sleep_ms(BETWEEN_ROUNDS_MS);
         }
-        writers.into_iter().for_each(|writer| drop(writer.join()));
-        for member in &members {
-            record.note(format!("{}: {} requests came whole", member.name, member.arrivals().len()));
+        let mut stale = 0;
+        for member in &all {
+            // What is sent to a member that has been primary may be excused.
+            for arrival in member.arrivals().into_iter().filter(|arrival| !arrival.was_primary) {
+                let Some(data_ms) = arrival.data_ms else { continue };
+                let age = arrival.whole_ms.saturating_sub(data_ms);
+                if age > BOUND_MS + SLACK_MS {
+                    stale += 1;
+                    record.note_at(
+                        arrival.whole,
+                        format!(
+                            "{} served a read from data {age} ms old when it was sent: BROKEN: {}",
+                            member.name, arrival.text
+                        ),
+                    );
+                }
+            }
         }
+        record.note(format!("answers: {:?}", answers.lock().unwrap()));
         record.say(format!(
-            "{lost} of {READERS} single reads were answered after their time and half a second"
+            "{stale} reads were served from data older than {BOUND_MS} ms and {SLACK_MS} ms of slack"
         ));
-        Ok(lost)
+        Ok(stale)
     })
 }
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -1,105 +1,156 @@
-//! Case 7: discovery is slow; a driver that starts meanwhile never gets a list, and goes on sending to a member that
-//! drains.
+//! Case 7: some clients send many commands at once; the reads of other clients are answered seconds after their time.
 
 #[path = "../standins-2/common.rs"]
 mod common;
 
 use std::collections::HashMap;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::sync::{Arc, Barrier};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use common::*;
 
-/// Figures of recife-lojas, under the names of the settings.
+/// Figures of cairo-readings, under the names of the settings.
 const SETTINGS: &str = r#"{
-    "discovery": "on_request", "nInstances": 1, "stepUs": 5000, "zone": 0, "zones": ["a", "b", "c"],
-    "extra": {"consistency": ["recent", "loose", "update"], "stalenessBoundUs": [800000, 0, 0], "guards": "silent",
-        "zeroUs": 0},
-    "limits": {"connIdleUs": 15000000, "connectTimeoutUs": 250000, "maxAttempts": 6, "maxRetryAfterUs": 500000,
-        "peerMessages": false, "probes": true, "retryAfter": true},
-    "loadReport": {"fields": ["x0", "x1", "backlog"], "how": "pull"},
+    "discovery": "pushed", "nInstances": 1, "stepUs": 5000, "zone": 0, "zones": ["a", "b", "c"],
+    "extra": {"consistency": ["recent", "update"], "stalenessBoundUs": [200000, 0], "guards": "silent",
+        "sessionMarks": "client", "zeroUs": 0},
+    "limits": {"connIdleUs": 30000000, "connectTimeoutUs": 250000, "maxAttempts": 8, "maxOpen": 20000,
+        "maxRetryAfterUs": 1000000, "peerMessages": false, "probes": true, "retryAfter": true},
+    "loadReport": {"fields": ["x0", "x1", "utilization"], "how": "piggyback"},
     "requestClasses": [
-        {"name": "stock-check", "aimUs": 750000, "deadlineUs": 2500000, "idempotency": "idempotent", "worth": 1.0},
-        {"name": "catalogue", "aimUs": 500000, "deadlineUs": 1500000, "idempotency": "idempotent", "worth": 1.0},
-        {"name": "order-place", "aimUs": 1000000, "deadlineUs": 3000000, "idempotency": "deduplicated",
-            "dedupScope": "cell", "windowUs": 2000000, "worth": 4.0, "lateWorth": 0.7}],
-    "rules": {"askWithinUs": 10000000, "startCapacity": 0.18, "warmWithinUs": 18000000, "tipMultiple": 2.5,
-        "fallUs": 1000000, "drainGraceUs": 2000000}}"#;
+        {"name": "reading-view", "aimUs": 250000, "deadlineUs": 1000000, "idempotency": "idempotent",
+            "worth": 3.0, "lateWorth": 0.0, "windowUs": 0},
+        {"name": "alarm-log", "aimUs": 600000, "deadlineUs": 5000000, "idempotency": "deduplicated",
+            "dedupScope": "cell", "worth": 4.0, "lateWorth": 0.3, "windowUs": 3000000}],
+    "rules": {"startCapacity": 0.18, "warmWithinUs": 16000000, "tipMultiple": 2.0, "fallUs": 1500000,
+        "drainGraceUs": 500000}}"#;
 const LIMITS: &str = r#"{"cores":1.0,"memory_mb":192,"sockets":1024}"#;
 
-/// How long each call waits for its turn at discovery with the disruption. A call fails only after 2 s.
-const CALL_DELAY_MS: u64 = 900;
-/// A change counts as told at the latest this long after discovery had it and could be reached.
-const TOLD_AFTER_MS: u64 = 6_000;
-/// Nothing new later than this after that; 50 ms more on sockets.
-const GRACE_MS: u64 = 2_000 + 50;
-/// For how long the draining member stays up and is watched.
-const WATCHED_MS: u64 = 16_000;
-const CLIENTS: usize = 4;
+/// Clients that write alarm records, and how many commands each sends at once with the disruption.
+const WRITERS: usize = 100;
+const COMMANDS_AT_ONCE: usize = 64;
+/// How long a writer waits for each answer.
+const WRITE_WAIT_MS: u64 = 5_000;
+/// Clients that read, one command at a time, on connections of their own.
+const READERS: usize = 20;
+/// How long a reader waits: 40% of what the class gives.
+const READ_WAIT_MS: u64 = 400;
+/// After this, beyond the time of the request, it is lost; 50 ms more on sockets.
+const LOST_AFTER_MS: u64 = 550;
 
-/// A client that reads, one command at a time, as long as its connections come up.
-fn read_on(record: Record, address: SocketAddr, number: usize) {
-    let mut client = Client::connect(address);
+fn write_command(writer: usize, number: usize) -> String {
+    format!(
+        "/* id={},c=alarm-log,d={WRITE_WAIT_MS},k={writer:04x}{number:04x},cluster=1 */ INSERT INTO entries (ref, \
+         payload) VALUES ('{writer:08x}{number:08x}', '\\x9f03') RETURNING payload",
+        new_id()
+    )
+}
+
+/// A client that writes: all its commands at once, then it reads the answers.
+fn write(record: Record, address: SocketAddr, writer: usize, start: Arc<Barrier>) {
+    let count = if has_trouble() { COMMANDS_AT_ONCE } else { 1 };
+    let batch: Vec<u8> =
+        (0..count).flat_map(|number| query_message(&write_command(writer, number))).collect();
+    let client = Client::connect(address);
+    start.wait();
+    let Ok(mut client) = client else { return record.note(format!("writer {writer}: no connection")) };
+    let sent_at = Instant::now();
+    if client.stream.write_all(&batch).is_err() {
+        return record.note(format!("writer {writer}: the connection broke"));
+    }
+    record.note_at(sent_at, format!("writer {writer}: {count} commands sent"));
     let mut ends: HashMap<String, usize> = HashMap::new();
-    while let Ok(connected) = &mut client {
-        let command = format!(
-            "/* id={},c=stock-check,d=2000,cluster=1 */ SELECT payload FROM entries WHERE ref = '{number:08x}'",
-            new_id()
-        );
-        let answer = connected.ask(&command, Duration::from_secs(3));
+    for _ in 0..count {
+        let answer = client.answer(sent_at + Duration::from_secs(40));
         *ends.entry(answer.word()).or_default() += 1;
         if matches!(answer, Answer::Closed | Answer::None) {
-            client = Client::connect(address);
+            break;
         }
-        if ends.values().sum::<usize>() % 50 == 0 {
-            record.note(format!("client {number}: answers so far {ends:?}"));
+    }
+    record.note(format!("writer {writer}: {ends:?}"));
+}
+
+/// A client that reads once before the writers begin and once after. True if the second answer came after its
+/// time and half a second, or never.
+fn read(record: Record, address: SocketAddr, reader: usize, start: Arc<Barrier>) -> Result<bool, String> {
+    let client = Client::connect(address);
+    let command = |id: &str| {
+        format!(
+            "/* id={id},c=reading-view,d={READ_WAIT_MS},cluster=1 */ SELECT payload FROM entries WHERE ref = '{reader:08x}'"
+        )
+    };
+    let mut client = match client {
+        Ok(client) => client,
+        Err(e) => {
+            start.wait();
+            return Err(e.to_string());
         }
-        sleep_ms(100);
+    };
+    let first = client.ask(&command(&new_id()), Duration::from_secs(10));
+    start.wait();
+    if !matches!(first, Answer::Served(_)) {
+        return Err(format!("reader {reader} was not served before: {first:?}"));
+    }
+    sleep_ms(50 + 50 * reader as u64);
+    let mut sent_at = Instant::now();
+    let mut answer = client.ask(&command(&new_id()), Duration::from_secs(40));
+    if answer == Answer::Closed {
+        // It crossed the end of the connection: sent one more time on a new one.
+        client = Client::connect(address).map_err(|e| e.to_string())?;
+        sent_at = Instant::now();
+        answer = client.ask(&command(&new_id()), Duration::from_secs(40));
     }
+    let took = sent_at.elapsed();
+    let lost = took > Duration::from_millis(READ_WAIT_MS + LOST_AFTER_MS)
+        || matches!(answer, Answer::Closed | Answer::None);
+    record.note_at(
+        sent_at,
+        format!(
+            "reader {reader}: one command sent, {} after {:.3} s{}",
+            answer.word(),
+            took.as_secs_f64(),
+            if lost { ": LOST" } else { "" }
+        ),
+    );
+    Ok(lost)
 }
 
 fn main() {
     run_case(|record| {
         let members: Vec<Member> =
-            (0..4).map(|n| Member::start(&format!("s-{n:08x}"), "a", 1, n == 0, 20)).collect();
+            (0..4).map(|n| Member::start(&format!("s-{n:08x}"), "a", 1, n == 0, 60)).collect();
         let discovery = Discovery::start(members.iter().map(Entry::of).collect(), record);
-        if has_trouble() {
-            discovery.with(|state| state.call_delay = Duration::from_millis(CALL_DELAY_MS));
-            record.note(format!("discovery answers each call after {CALL_DELAY_MS} ms"));
-        }
         let driver =
             Driver::start(record, discovery.address, &discovery.known(), LIMITS, SETTINGS, &HashMap::new())?;
+        sleep_ms(1_000);
         let address = driver.address;
-        for number in 0..CLIENTS {
-            let record = record.clone();
-            thread::spawn(move || read_on(record, address, number));
-        }
-        sleep_ms(4_000);
-        let draining = &members[1];
-        if draining.arrivals().is_empty() {
-            return Err("the member got no request before it drained".into());
+        let start = Arc::new(Barrier::new(WRITERS + READERS));
+        let writers: Vec<_> = (0..WRITERS)
+            .map(|n| {
+                let (record, start) = (record.clone(), start.clone());
+                thread::spawn(move || write(record, address, n, start))
+            })
+            .collect();
+        let readers: Vec<_> = (0..READERS)
+            .map(|n| {
+                let (record, start) = (record.clone(), start.clone());
+                thread::spawn(move || read(record, address, n, start))
+            })
+            .collect();
+        let mut lost = 0;
+        for reader in readers {
+            lost += usize::from(reader.join().map_err(|_| "a reader failed")??);
         }
-        let drained_at = Instant::now();
-        discovery.change(vec![Entry { lifecycle: "draining", ..Entry::of(draining) }]);
-        sleep_ms(WATCHED_MS);
-        let last_allowed = drained_at + Duration::from_millis(TOLD_AFTER_MS + GRACE_MS);
-        let sends = draining.arrivals();
-        let late: Vec<&Arrival> = sends.iter().filter(|arrival| arrival.first_byte > last_allowed).collect();
-        for arrival in sends.iter().filter(|arrival| arrival.first_byte > drained_at) {
-            let after = (arrival.first_byte - drained_at).as_secs_f64();
-            let verdict = if arrival.first_byte > last_allowed { ": BROKEN" } else { "" };
-            record.note_at(
-                arrival.first_byte,
-                format!("sent {after:.3} s after the drain{verdict}: {}", arrival.text),
-            );
+        writers.into_iter().for_each(|writer| drop(writer.join()));
+        for member in &members {
+            record.note(format!("{}: {} requests came whole", member.name, member.arrivals().len()));
         }
-        let (calls, lists) = discovery.with(|state| (state.calls, state.full_lists_sent));
         record.say(format!(
-            "{} requests reached the draining member later than 6 s and the grace; discovery was called {calls} times \
-             and could answer {lists} calls for the list",
-            late.len()
+            "{lost} of {READERS} single reads were answered after their time and half a second"
         ));
-        Ok(late.len())
+        Ok(lost)
     })
 }
--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -127,23 +127,44 @@
     pub first_byte: Instant,
     /// When its last byte had come.
     pub whole: Instant,
+    /// The same in Unix milliseconds.
+    pub whole_ms: u64,
     pub text: String,
+    /// The position of the data from which it was served, in Unix milliseconds, if it was served.
+    pub data_ms: Option<u64>,
+    /// Whether its member had been a primary by then.
+    pub was_primary: bool,
 }
 
 pub struct MemberState {
     pub leader: bool,
     /// How long it works on a request.
     pub work: Duration,
+    /// Whether that is the mean of a spread from a quarter to the double.
+    pub work_varies: bool,
     /// Takes requests and answers none, probes included.
     pub hangs: bool,
     /// How far its data is behind the clock.
     pub lag_ms: u64,
+    /// The position at which its data stands still, if it does, in Unix milliseconds.
+    pub stands_at_ms: Option<u64>,
+    /// Whether it has been a primary.
+    pub was_primary: bool,
+    /// Turns writes away untouched, since it hands over.
+    pub hands_over: bool,
     /// The value with which it answers: the id of the request, or this many bytes.
     pub answer_bytes: usize,
     pub arrivals: Vec<Arrival>,
     pub probes: usize,
 }
 
+impl MemberState {
+    /// Up to this time it has applied all commits, in Unix milliseconds.
+    pub fn position_ms(&self) -> u64 {
+        self.stands_at_ms.unwrap_or_else(|| unix_ms() - self.lag_ms)
+    }
+}
+
 #[derive(Clone)]
 pub struct Member {
     pub name: String,
@@ -159,8 +180,12 @@
         let state = MemberState {
             leader,
             work: Duration::from_millis(work_ms),
+            work_varies: false,
             hangs: false,
             lag_ms: if leader { 0 } else { 5 },
+            stands_at_ms: None,
+            was_primary: leader,
+            hands_over: false,
             answer_bytes: 0,
             arrivals: Vec::new(),
             probes: 0,
@@ -225,13 +250,25 @@
 
     fn answer(&self, stream: &mut TcpStream, text: String, first_byte: Instant) -> io::Result<()> {
         let is_probe = text.starts_with("SHOW ") || text == "SELECT 1";
-        let (work, answer_bytes) = self.with(|state| {
+        let (work, answer_bytes, index) = self.with(|state| {
+            // Factors with a mean of 1, in turn.
+            const FACTORS: [f64; 8] = [1.0, 0.4, 1.6, 0.25, 0.7, 2.0, 0.55, 1.5];
+            let turn = state.arrivals.len() % FACTORS.len();
+            let work = if state.work_varies { state.work.mul_f64(FACTORS[turn]) } else { state.work };
             if is_probe {
                 state.probes += 1;
             } else {
-                state.arrivals.push(Arrival { first_byte, whole: Instant::now(), text: text.clone() });
+                let (whole, whole_ms) = (Instant::now(), unix_ms());
+                state.arrivals.push(Arrival {
+                    first_byte,
+                    whole,
+                    whole_ms,
+                    text: text.clone(),
+                    data_ms: None,
+                    was_primary: state.was_primary,
+                });
             }
-            (state.work, state.answer_bytes)
+            (work, state.answer_bytes, state.arrivals.len().saturating_sub(1))
         });
         while self.with(|state| state.hangs) {
             // It notices that the connection was closed, and drops the request.
@@ -250,10 +287,21 @@
             put(&mut out, b'Z', b"I");
             return stream.write_all(&out);
         }
-        thread::sleep(work);
-        let (leader, position) = self.with(|state| (state.leader, unix_ms() - state.lag_ms));
         let is_write = text.contains("INSERT");
-        if is_write && !leader {
+        let is_turned_away = is_write && self.with(|state| state.hands_over || !state.leader);
+        thread::sleep(if is_turned_away { Duration::ZERO } else { work });
+        let (leader, position, hands_over) = self.with(|state| {
+            let position = state.position_ms();
+            if !is_write {
+                let was_primary = state.was_primary;
+                let arrival = &mut state.arrivals[index];
+                (arrival.data_ms, arrival.was_primary) = (Some(position), was_primary);
+            }
+            (state.leader, position, state.hands_over)
+        });
+        if is_write && hands_over {
+            put_error(&mut out, "53300");
+        } else if is_write && !leader {
             put_error(&mut out, "25006");
         } else {
             let id = comment_value(&text, "id").unwrap_or("").as_bytes().to_vec();
@@ -268,7 +316,7 @@
     }
 
     fn report(&self) -> String {
-        let (leader, position) = self.with(|state| (state.leader, unix_ms() - state.lag_ms));
+        let (leader, position) = self.with(|state| (state.leader, state.position_ms()));
         format!(
             "x0={}.{:03},x1={},utilization=0.2,backlog=0",
             position / 1000,
@@ -625,13 +673,26 @@
         limits: &str,
         settings: &str,
         variables: &HashMap<&str, String>,
+    ) -> Result<Driver, String> {
+        Driver::start_with(record, discovery, known, limits, settings, variables, "")
+    }
+
+    /// The same with more keys of the configuration, each followed by a comma.
+    pub fn start_with(
+        record: &Record,
+        discovery: SocketAddr,
+        known: &str,
+        limits: &str,
+        settings: &str,
+        variables: &HashMap<&str, String>,
+        more_keys: &str,
     ) -> Result<Driver, String> {
         let address = free_address();
         let temporary = std::env::var("CASE_TMP").map_err(|_| "CASE_TMP is not set")?;
         let folder = PathBuf::from(temporary).join(format!("driver-{}", address.port()));
         fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
         let config = format!(
-            r#"{{"name":"n0","listen":"{address}","discovery":"{discovery}","seed":"{:016x}","limits":{limits},"known":{known},"settings":{settings}}}"#,
+            r#"{{"name":"n0","listen":"{address}","discovery":"{discovery}","seed":"{:016x}","limits":{limits},{more_keys}"known":{known},"settings":{settings}}}"#,
             unix_ms().wrapping_mul(0x9e37_79b9_7f4a_7c15)
         );
         let path = folder.join("config.json");
