--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -58,7 +58,13 @@
     answer
 }
 
-fn client(address: SocketAddr, number: usize, writes: bool, answers: Arc<Mutex<HashMap<String, usize>>>) {
+fn client(
+    record: Record,
+    address: SocketAddr,
+    number: usize,
+    writes: bool,
+    answers: Arc<Mutex<HashMap<String, usize>>>,
+) {
     let mut connection = Client::connect(address);
     let mut group = number;
     while connection.is_ok() {
@@ -73,6 +79,7 @@
             format!("/* id={id},c=reading-view,d=600,cluster={group} */ SELECT payload FROM entries WHERE ref = '{number:08x}'")
         };
         let answer = unless_closed(&mut connection, address, &command);
+        record.note(format!("client {number}: {} to request {id}", answer.word()));
         let kind = if writes { "writes" } else { "reads" };
         *answers.lock().unwrap().entry(format!("{kind} {}", answer.word())).or_default() += 1;
         sleep_ms(if writes { 120 } else { 100 });
@@ -114,7 +121,8 @@
         let answers = Arc::new(Mutex::new(HashMap::new()));
         for number in 0..DRIVERS * (READERS + WRITERS) {
             let (answers, address) = (answers.clone(), drivers[number % DRIVERS].address);
-            thread::spawn(move || client(address, number, number < DRIVERS * WRITERS, answers));
+            let record = record.clone();
+            thread::spawn(move || client(record, address, number, number < DRIVERS * WRITERS, answers));
         }
         sleep_ms(3_000);
         for round in 0..ROUNDS {
@@ -154,6 +162,7 @@
             discovery.change(changed);
             sleep_ms(BETWEEN_ROUNDS_MS);
         }
+        note_arrivals(record, &all);
         let mut stale = 0;
         for member in &all {
             // What is sent to a member that has been primary may be excused.
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -30,7 +30,7 @@
 const LIMITS: &str = r#"{"cores":1.0,"memory_mb":192,"sockets":1024}"#;
 
 /// Clients that write alarm records, and how many commands each sends at once with the disruption.
-const WRITERS: usize = 100;
+const WRITERS: usize = 150;
 const COMMANDS_AT_ONCE: usize = 64;
 /// How long a writer waits for each answer.
 const WRITE_WAIT_MS: u64 = 5_000;
@@ -145,9 +145,7 @@
             lost += usize::from(reader.join().map_err(|_| "a reader failed")??);
         }
         writers.into_iter().for_each(|writer| drop(writer.join()));
-        for member in &members {
-            record.note(format!("{}: {} requests came whole", member.name, member.arrivals().len()));
-        }
+        note_arrivals(record, &members);
         record.say(format!(
             "{lost} of {READERS} single reads were answered after their time and half a second"
         ));
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -41,20 +41,16 @@
 /// A client that reads, one command at a time, as long as its connections come up.
 fn read_on(record: Record, address: SocketAddr, number: usize) {
     let mut client = Client::connect(address);
-    let mut ends: HashMap<String, usize> = HashMap::new();
     while let Ok(connected) = &mut client {
         let command = format!(
             "/* id={},c=stock-check,d=2000,cluster=1 */ SELECT payload FROM entries WHERE ref = '{number:08x}'",
             new_id()
         );
         let answer = connected.ask(&command, Duration::from_secs(3));
-        *ends.entry(answer.word()).or_default() += 1;
+        record.note(format!("client {number}: {}", answer.word()));
         if matches!(answer, Answer::Closed | Answer::None) {
             client = Client::connect(address);
         }
-        if ends.values().sum::<usize>() % 50 == 0 {
-            record.note(format!("client {number}: answers so far {ends:?}"));
-        }
         sleep_ms(100);
     }
 }
@@ -84,6 +80,7 @@
         discovery.change(vec![Entry { lifecycle: "draining", ..Entry::of(draining) }]);
         sleep_ms(WATCHED_MS);
         let last_allowed = drained_at + Duration::from_millis(TOLD_AFTER_MS + GRACE_MS);
+        note_arrivals(record, &members);
         let sends = draining.arrivals();
         let late: Vec<&Arrival> = sends.iter().filter(|arrival| arrival.first_byte > last_allowed).collect();
         for arrival in sends.iter().filter(|arrival| arrival.first_byte > drained_at) {
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -41,14 +41,16 @@
 const CLIENTS: usize = 4;
 
 /// A client that reads, one command at a time, as long as its connections come up.
-fn read_on(address: SocketAddr, number: usize) {
+fn read_on(record: Record, address: SocketAddr, number: usize) {
     let mut client = Client::connect(address);
     while let Ok(connected) = &mut client {
         let command = format!(
             "/* id={},c=archive-read,d=2000,cluster=1 */ SELECT payload FROM entries WHERE ref = '{number:08x}'",
             new_id()
         );
-        if matches!(connected.ask(&command, Duration::from_secs(3)), Answer::Closed | Answer::None) {
+        let answer = connected.ask(&command, Duration::from_secs(3));
+        record.note(format!("client {number}: {}", answer.word()));
+        if matches!(answer, Answer::Closed | Answer::None) {
             client = Client::connect(address);
         }
         sleep_ms(60);
@@ -65,7 +67,8 @@
         let mut driver = Driver::start(record, old.address, &old.known(), LIMITS, SETTINGS, &HashMap::new())?;
         let address = driver.address;
         for number in 0..CLIENTS {
-            thread::spawn(move || read_on(address, number));
+            let record = record.clone();
+            thread::spawn(move || read_on(record, address, number));
         }
         sleep_ms(3_000);
         let draining = &members[1];
@@ -90,6 +93,7 @@
         new.change(change);
         sleep_ms(3_000);
         let last_allowed = drained_at + Duration::from_millis(GRACE_MS);
+        note_arrivals(record, &members);
         let sends = draining.arrivals();
         let late: Vec<&Arrival> = sends.iter().filter(|arrival| arrival.first_byte > last_allowed).collect();
         for arrival in &late {
--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -326,6 +326,17 @@
     }
 }
 
+/// Writes down every request that came whole at the members.
+pub fn note_arrivals(record: &Record, members: &[Member]) {
+    for member in members {
+        for arrival in member.arrivals() {
+            let data = arrival.data_ms.map(|at| arrival.whole_ms.saturating_sub(at));
+            let data = data.map_or(String::new(), |age| format!(", served from data {age} ms old"));
+            record.note_at(arrival.whole, format!("{} got{data}: {}", member.name, arrival.text));
+        }
+    }
+}
+
 fn read_more(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> io::Result<()> {
     let mut part = [0; 16 * 1024];
     match stream.read(&mut part)? {
